--- /dev/null
+++ b/crates/cloud/src/lib.rs
@@ -0,0 +1,101 @@
+//! The cloud's client, within a request budget.
+#![forbid(unsafe_code)]
+
+use corkfield_http::{Client, ClientError, Reply};
+use corkfield_state::{Budget, Use};
+use corkfield_wire::cloud::{
+    ListedMachine, MachineList, MachineNames, MachineType, MachineTypes, RentRequest, MAX_LIST,
+    PATH_DELETE, PATH_MACHINES, PATH_TYPES,
+};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const MAX_BODY: usize = 1024 * 1024;
+const CONNECTIONS: usize = 8;
+const TIMEOUT: Duration = Duration::from_secs(4);
+
+#[derive(Debug, thiserror::Error)]
+pub enum CloudError {
+    #[error("no capacity")]
+    NoCapacity,
+    /// The request was surely not executed.
+    #[error("refused with status {0}")]
+    Refused(u16),
+    /// The request may have been executed, or may be executed later on.
+    #[error("no answer: {0}")]
+    NoAnswer(#[from] ClientError),
+    #[error("nonsense from the cloud: {0}")]
+    Nonsense(String),
+}
+
+pub struct CloudClient {
+    http: Client,
+    budget: Budget,
+}
+
+impl CloudClient {
+    pub fn new(addr: SocketAddr, rps: f64) -> Self {
+        // Two planners may overlap for a moment at a take-over, hence not the whole rate.
+        let budget = Budget::new(rps * 0.7, rps);
+        Self { http: Client::new(addr, CONNECTIONS, MAX_BODY), budget }
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        for_use: Use,
+        method: &str,
+        target: &str,
+        body: &impl Serialize,
+    ) -> Result<T, CloudError> {
+        self.budget.take(for_use, 1.0).await;
+        let body = match method {
+            "GET" => Vec::new(),
+            _ => serde_json::to_vec(body).map_err(|e| CloudError::Nonsense(e.to_string()))?,
+        };
+        let reply = self.http.request(method, target, &body, TIMEOUT).await?;
+        read(&reply)
+    }
+
+    pub async fn types(&self) -> Result<Vec<MachineType>, CloudError> {
+        let read: MachineTypes = self.call(Use::Claim, "GET", PATH_TYPES, &()).await?;
+        Ok(read.types)
+    }
+
+    /// The whole list, page by page.
+    pub async fn machines(&self) -> Result<Vec<ListedMachine>, CloudError> {
+        let mut machines: Vec<ListedMachine> = Vec::new();
+        loop {
+            let after = machines.last().map(|m| format!("after={}&", m.name)).unwrap_or_default();
+            let target = format!("{PATH_MACHINES}?{after}limit={MAX_LIST}");
+            let page: MachineList = self.call(Use::Reading, "GET", &target, &()).await?;
+            let empty = page.machines.is_empty();
+            machines.extend(page.machines);
+            if !page.more || empty {
+                return Ok(machines);
+            }
+        }
+    }
+
+    pub async fn rent(&self, request: &RentRequest) -> Result<Vec<String>, CloudError> {
+        let names: MachineNames =
+            self.call(Use::Submission, "POST", PATH_MACHINES, request).await?;
+        Ok(names.machines)
+    }
+
+    pub async fn delete(&self, machines: Vec<String>) -> Result<(), CloudError> {
+        let body = MachineNames { machines };
+        let _: serde::de::IgnoredAny = self.call(Use::Settling, "POST", PATH_DELETE, &body).await?;
+        Ok(())
+    }
+}
+
+fn read<T: DeserializeOwned>(reply: &Reply) -> Result<T, CloudError> {
+    match reply.status {
+        200 => serde_json::from_slice(&reply.body).map_err(|e| CloudError::Nonsense(e.to_string())),
+        503 if reply.body.windows(11).any(|w| w == b"no capacity") => Err(CloudError::NoCapacity),
+        429 | 500..=599 => Err(CloudError::Refused(reply.status)),
+        status => Err(CloudError::Nonsense(format!("status {status}"))),
+    }
+}
--- /dev/null
+++ b/crates/core/src/job.rs
@@ -0,0 +1,237 @@
+//! A claimed job: which of its tasks wait, are placed, are finished, are stored.
+
+use crate::team::Usage;
+use corkfield_wire::records::{JobRecord, CHUNK_TASKS};
+use corkfield_wire::{JobSpec, TaskSet};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum JobState {
+    /// Its tasks may be started.
+    Active,
+    /// It failed on several machines: nothing is started before the time given.
+    BackingOff(Instant),
+    /// It waited long enough and has to be claimed anew, which counts (S12).
+    Lapsed,
+    /// Set aside at the claim limit; its tasks are stopped.
+    SetAside,
+    /// Over, or another's: its tasks are stopped and nothing is started any more.
+    Closing,
+}
+
+/// Where a task is, and under which attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placed {
+    pub machine: String,
+    pub attempt: u64,
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub record: JobRecord,
+    /// Version of the record in the state service that this claim rests on.
+    pub version: u64,
+    state: JobState,
+    pub(crate) team: usize,
+    pub(crate) accepted_at: Instant,
+    pub(crate) due_at: Option<Instant>,
+    /// Everything reported as done, stored or not.
+    finished: TaskSet,
+    /// Reported as done but not yet stored.
+    unstored: Vec<u32>,
+    /// A settling write is under way.
+    pub(crate) settling: bool,
+    /// Placed tasks and their machines.
+    active: BTreeMap<u32, Placed>,
+    retry: Vec<u32>,
+    next: u32,
+    attempts: u64,
+    pub(crate) running: u32,
+    pub(crate) claimed_at: Instant,
+    pub(crate) refunded: bool,
+    /// Machines on which its tasks failed since something of it last completed.
+    pub(crate) failed_on: Vec<String>,
+    pub(crate) failures: u32,
+    /// Run time of its completed tasks: count and sum in seconds.
+    pub(crate) runs: (u32, f64),
+    pub(crate) first_wait: Instant,
+}
+
+impl Job {
+    pub(crate) fn new(
+        record: JobRecord,
+        finished: TaskSet,
+        version: u64,
+        team: usize,
+        age: Duration,
+        now: Instant,
+    ) -> Self {
+        let accepted_at = now.checked_sub(age).unwrap_or(now);
+        let due_at = record.spec.deadline_s.map(|d| accepted_at + Duration::from_secs_f64(d));
+        let state = if record.set_aside { JobState::SetAside } else { JobState::Active };
+        Self {
+            record,
+            version,
+            state,
+            team,
+            accepted_at,
+            due_at,
+            finished,
+            unstored: Vec::new(),
+            settling: false,
+            active: BTreeMap::new(),
+            retry: Vec::new(),
+            next: 0,
+            attempts: 0,
+            running: 0,
+            claimed_at: now,
+            refunded: false,
+            failed_on: Vec::new(),
+            failures: 0,
+            runs: (0, 0.0),
+            first_wait: now,
+        }
+    }
+
+    pub fn spec(&self) -> &JobSpec {
+        &self.record.spec
+    }
+
+    pub fn state(&self) -> JobState {
+        self.state
+    }
+
+    /// The one place where a job's state changes.
+    pub(crate) fn enter(&mut self, state: JobState) {
+        if self.state == state || self.state == JobState::Closing {
+            return;
+        }
+        tracing::debug!(job = %self.record.spec.id, from = ?self.state, to = ?state, "job");
+        self.state = state;
+    }
+
+    pub fn is_live(&self) -> bool {
+        self.state != JobState::Closing
+    }
+
+    pub(crate) fn may_start(&self) -> bool {
+        self.state == JobState::Active
+    }
+
+    pub fn finished(&self) -> &TaskSet {
+        &self.finished
+    }
+
+    pub fn is_stored(&self, index: u32) -> bool {
+        self.finished.contains(index) && !self.unstored.contains(&index)
+    }
+
+    pub fn active(&self) -> &BTreeMap<u32, Placed> {
+        &self.active
+    }
+
+    pub fn waiting(&self) -> u32 {
+        let active = u32::try_from(self.active.len()).unwrap_or(u32::MAX);
+        self.spec().tasks.saturating_sub(self.finished.len() + active)
+    }
+
+    pub fn remaining(&self) -> u32 {
+        self.spec().tasks.saturating_sub(self.finished.len())
+    }
+
+    /// The next task to place. It must be placed or given back.
+    pub(crate) fn take_waiting(&mut self) -> Option<u32> {
+        while let Some(index) = self.retry.pop() {
+            if !self.finished.contains(index) && !self.active.contains_key(&index) {
+                return Some(index);
+            }
+        }
+        while self.next < self.spec().tasks {
+            let index = self.next;
+            self.next += 1;
+            if !self.finished.contains(index) && !self.active.contains_key(&index) {
+                return Some(index);
+            }
+        }
+        None
+    }
+
+    pub(crate) fn place(&mut self, index: u32, machine: &str, attempt: u64) {
+        self.active.insert(index, Placed { machine: machine.to_owned(), attempt });
+    }
+
+    /// That attempt is surely no longer on that machine. An earlier attempt that its worker
+    /// only now forgets says nothing about a later one, even on the same machine.
+    pub(crate) fn release(&mut self, index: u32, machine: &str, attempt: u64) {
+        let same = |p: &Placed| p.machine == machine && p.attempt == attempt;
+        if self.active.get(&index).is_some_and(same) {
+            self.active.remove(&index);
+            if !self.finished.contains(index) {
+                self.retry.push(index);
+            }
+        }
+    }
+
+    /// Attempts never repeat: the generation, raised by each claim, is their high part.
+    pub(crate) fn next_attempt(&mut self) -> u64 {
+        self.attempts += 1;
+        (self.record.generation << 24) | (self.attempts & 0xff_ffff)
+    }
+
+    /// A task was reported as done; true if that is news.
+    pub(crate) fn finish(&mut self, index: u32) -> bool {
+        let news = index < self.spec().tasks && self.finished.insert(index);
+        if news {
+            self.active.remove(&index);
+            self.unstored.push(index);
+            self.failed_on.clear();
+            self.failures = 0;
+        }
+        news
+    }
+
+    pub(crate) fn unstored(&self) -> &[u32] {
+        &self.unstored
+    }
+
+    pub(crate) fn stored(&mut self, tasks: &[u32]) {
+        self.unstored.retain(|n| !tasks.contains(n));
+    }
+
+    /// Finished tasks found in the store (after a write whose answer was lost, say).
+    pub(crate) fn found_stored(&mut self, stored: &TaskSet) {
+        self.unstored.retain(|n| !stored.contains(*n));
+        self.finished.extend(stored);
+    }
+
+    /// Claimed once more after a back-off.
+    pub(crate) fn reclaimed(&mut self, record: JobRecord, version: u64, now: Instant) {
+        let state = if record.set_aside { JobState::SetAside } else { JobState::Active };
+        self.record = record;
+        self.version = version;
+        self.claimed_at = now;
+        self.refunded = false;
+        self.failed_on.clear();
+        self.enter(state);
+    }
+
+    /// Finished numbers of the chunk that a task belongs to.
+    pub(crate) fn chunk(&self, index: u32) -> (u32, TaskSet) {
+        let chunk = index / CHUNK_TASKS;
+        (chunk, self.finished.slice(chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS))
+    }
+
+    pub(crate) fn demand(&self) -> Usage {
+        Usage::of(self.spec(), self.remaining())
+    }
+
+    /// Expected run time of a task: what was seen, else the owner's guess corrected by what
+    /// was seen of the class.
+    pub(crate) fn expected_run_s(&self, correction: f64) -> f64 {
+        match self.runs {
+            (0, _) => (self.spec().estimate_s * correction).max(1.0),
+            (n, sum) => (sum / f64::from(n)).max(0.5),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Scheduling, without I/O: jobs, tasks, machines, teams, placement and renting as state
+//! machines. Time is passed in; what should happen outside comes out as [`Action`]s.
+#![forbid(unsafe_code)]
+
+mod config;
+mod job;
+mod machine;
+mod placement;
+mod planner;
+mod renting;
+mod team;
+
+pub use config::Config;
+pub use job::{Job, JobState, Placed};
+pub use machine::{Held, HeldState, Machine, MachineState, Recorded};
+pub use planner::{Action, Overview, Planner, Settlement, Verdict};
+pub use team::{fits_some_type, Misfit};
--- /dev/null
+++ b/crates/core/src/machine.rs
@@ -0,0 +1,262 @@
+//! A machine and everything that may be on it.
+
+use crate::team::{Usage, EPSILON};
+use corkfield_wire::cloud::{ListedState, MachineType};
+use corkfield_wire::worker::Order;
+use corkfield_wire::{JobSpec, TaskId};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MachineState {
+    /// Rented; its worker hasn't reported.
+    Booting,
+    /// Takes work.
+    Up,
+    /// Takes no new work; what runs may go on or is being stopped.
+    Draining,
+    /// Its deletion was asked for.
+    Deleting,
+}
+
+/// Whether the state service knows that the machine may hold tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Recorded {
+    No,
+    Writing,
+    Yes,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeldState {
+    /// Chosen, but no order has left yet.
+    Assigned,
+    /// The start was sent as the answer to the report with this session and number.
+    Ordered {
+        session: u64,
+        seq: u64,
+    },
+    Fetching,
+    Running,
+    Saving,
+    /// Exited as done; kept on the machine until the result is stored.
+    Done,
+    /// Exited otherwise.
+    Exited,
+}
+
+/// A task that is, or may be, on a machine.
+#[derive(Debug, Clone)]
+pub struct Held {
+    pub state: HeldState,
+    pub since: Instant,
+    /// What it takes; unknown for tasks of jobs that are not known any more.
+    pub spec: Option<Need>,
+    pub team: Option<usize>,
+    /// The grace to stop it with, once it has to go.
+    pub stop: Option<Duration>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Need {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+impl Need {
+    pub fn of(spec: &JobSpec) -> Self {
+        Self { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+    }
+}
+
+impl Held {
+    /// The one place where the state of a task on a machine changes.
+    pub(crate) fn enter(&mut self, state: HeldState, now: Instant) {
+        if self.state != state {
+            self.state = state;
+            self.since = now;
+        }
+    }
+
+    /// Whether it takes room on the machine and of its team's limit.
+    pub fn takes_room(&self) -> bool {
+        !matches!(self.state, HeldState::Done | HeldState::Exited)
+    }
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub name: String,
+    pub addr: String,
+    pub type_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub(crate) size: Option<MachineType>,
+    state: MachineState,
+    pub recorded: Recorded,
+    /// No order of an earlier planner can act on it any more (S7).
+    pub fresh: bool,
+    pub session: u64,
+    pub seq: u64,
+    /// Sessions up to this one are known to have ended.
+    pub(crate) ended_sessions: u64,
+    pub(crate) known_since: Instant,
+    pub(crate) rented_at: Instant,
+    pub(crate) heard_at: Option<Instant>,
+    /// The last moment at which a report of it can have been answered with 200.
+    pub(crate) answered_at: Instant,
+    pub(crate) lapsed: bool,
+    pub(crate) listed: Option<ListedState>,
+    pub(crate) missing: u32,
+    pub(crate) notice: bool,
+    pub(crate) idle_since: Option<Instant>,
+    pub held: BTreeMap<(TaskId, u64), Held>,
+    /// Images that it probably has, the most recently used last.
+    pub(crate) images: Vec<(String, f64)>,
+    /// Jobs whose tasks failed here since a task last completed here.
+    pub(crate) failed_jobs: Vec<String>,
+    pub(crate) failures: u32,
+    pub(crate) completed: u32,
+    pub(crate) shunned_until: Option<Instant>,
+    /// Run times here against the same jobs' run times elsewhere, smoothed.
+    pub(crate) slowness: f64,
+    pub(crate) slowness_samples: u32,
+}
+
+impl Machine {
+    pub(crate) fn new(
+        name: String,
+        type_name: String,
+        zone: String,
+        spot: bool,
+        now: Instant,
+    ) -> Self {
+        Self {
+            name,
+            addr: String::new(),
+            type_name,
+            zone,
+            spot,
+            size: None,
+            state: MachineState::Booting,
+            recorded: Recorded::No,
+            fresh: false,
+            session: 0,
+            seq: 0,
+            ended_sessions: 0,
+            known_since: now,
+            rented_at: now,
+            heard_at: None,
+            answered_at: now,
+            lapsed: false,
+            listed: None,
+            missing: 0,
+            notice: false,
+            idle_since: None,
+            held: BTreeMap::new(),
+            images: Vec::new(),
+            failed_jobs: Vec::new(),
+            failures: 0,
+            completed: 0,
+            shunned_until: None,
+            slowness: 1.0,
+            slowness_samples: 0,
+        }
+    }
+
+    pub fn state(&self) -> MachineState {
+        self.state
+    }
+
+    /// The one place where a machine's state changes; it never comes back from deletion.
+    pub(crate) fn enter(&mut self, state: MachineState) {
+        if self.state == state || self.state == MachineState::Deleting {
+            return;
+        }
+        tracing::debug!(machine = %self.name, from = ?self.state, to = ?state, "machine");
+        self.state = state;
+    }
+
+    /// Room that no task takes; none while something of unknown size is there.
+    pub(crate) fn free(&self) -> Option<Need> {
+        let size = self.size.as_ref()?;
+        let mut free = Need { cpus: size.cpus, gpus: size.gpus, memory_gb: size.memory_gb };
+        for held in self.held.values().filter(|h| h.takes_room()) {
+            let need = held.spec.as_ref()?;
+            free.cpus -= need.cpus;
+            free.gpus -= need.gpus;
+            free.memory_gb -= need.memory_gb;
+        }
+        Some(free)
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        !self.held.values().any(Held::takes_room)
+    }
+
+    pub(crate) fn takes_work(&self, now: Instant, silence: Duration) -> bool {
+        self.state == MachineState::Up
+            && self.fresh
+            && !self.lapsed
+            && !self.notice
+            && self.recorded == Recorded::Yes
+            && self.heard_at.is_some_and(|at| now.duration_since(at) <= silence)
+            && self.shunned_until.is_none_or(|until| now >= until)
+    }
+
+    pub(crate) fn allows(&self, spec: &JobSpec) -> bool {
+        (spec.spot || !self.spot)
+            && spec.types.as_ref().is_none_or(|names| names.contains(&self.type_name))
+            && spec.zone.as_ref().is_none_or(|zone| *zone == self.zone)
+    }
+
+    pub(crate) fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(name, _)| name == image)
+    }
+
+    /// Notes an image as the most recently used; older ones fall out of the cache.
+    pub(crate) fn touch_image(&mut self, image: &str, gb: f64) {
+        self.images.retain(|(name, _)| name != image);
+        self.images.push((image.to_owned(), gb));
+        let room = self.size.as_ref().map_or(0.0, |t| t.cache_gb);
+        let mut total: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while self.images.len() > 1 && (total > room || self.images.len() > 64) {
+            total -= self.images.remove(0).1;
+        }
+    }
+
+    /// Stops that have to be told to the worker, again with every answer.
+    pub(crate) fn stops(&self) -> impl Iterator<Item = Order> + '_ {
+        self.held.iter().filter_map(|((task, attempt), held)| {
+            let grace = held.stop?;
+            let again = match held.state {
+                HeldState::Ordered { .. } | HeldState::Fetching | HeldState::Running => true,
+                // A task that saves is let be, unless it has to go at once.
+                HeldState::Saving => grace.is_zero(),
+                HeldState::Assigned | HeldState::Done | HeldState::Exited => false,
+            };
+            let grace_s = grace.as_secs_f64();
+            again.then(|| Order::Stop { task: task.clone(), attempt: *attempt, grace_s })
+        })
+    }
+
+    pub(crate) fn usage(&self, team: usize) -> Usage {
+        let mut usage = Usage::default();
+        for held in self.held.values().filter(|h| h.takes_room() && h.team == Some(team)) {
+            if let Some(need) = &held.spec {
+                usage.cpus += need.cpus;
+                usage.gpus += need.gpus;
+            }
+        }
+        usage
+    }
+}
+
+impl Need {
+    pub(crate) fn holds(&self, need: &Need) -> bool {
+        need.cpus <= self.cpus + EPSILON
+            && need.gpus <= self.gpus + EPSILON
+            && need.memory_gb <= self.memory_gb + EPSILON
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,358 @@
+//! Placement: a machine holding the image, else the roomiest in the job's zone, if any.
+
+use crate::job::Job;
+use crate::machine::{Held, HeldState, Need};
+use crate::planner::{direct, Action, Planner};
+use crate::team::{within_guarantee, within_limit, Usage};
+use corkfield_wire::worker::Order;
+use corkfield_wire::{JobId, Priority};
+use rand::seq::index;
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// A machine whose tasks took this many times as long as elsewhere gets no new work.
+pub(crate) const SLOW: f64 = 1.6;
+pub(crate) const SLOW_SAMPLES: u32 = 4;
+/// A task expected to end sooner than this is not stopped for another.
+const NEARLY_DONE_S: f64 = 6.0;
+
+/// A machine with room, during one pass.
+struct Room {
+    name: String,
+    free: Need,
+    zone: String,
+    /// Failed its last task: gets one at a time until one completes.
+    probing: bool,
+}
+
+struct Rank {
+    urgent: bool,
+    guaranteed: bool,
+    priority: Priority,
+    late: bool,
+    work_s: f64,
+    accepted: Instant,
+}
+
+impl Planner {
+    pub(crate) fn correction(&self, class: &str) -> f64 {
+        match self.corrections.get(class) {
+            Some((n, sum)) if *n >= 3 => (sum / f64::from(*n)).clamp(0.1, 10.0),
+            _ => 1.0,
+        }
+    }
+
+    /// When the job should be complete, by its own deadline or its class's objective.
+    pub(crate) fn due(&self, job: &Job) -> Option<Instant> {
+        job.due_at.or_else(|| {
+            let finished = |o: &&corkfield_wire::settings::Objective| {
+                o.kind == "finished" && o.class.as_deref() == Some(job.spec().class.as_str())
+            };
+            let within = self.config.objectives.iter().find(finished)?.within_s?;
+            Some(job.accepted_at + Duration::try_from_secs_f64(within).ok()?)
+        })
+    }
+
+    fn rank(&self, job: &Job, usage: &[Usage], now: Instant) -> Rank {
+        let run_s = job.expected_run_s(self.correction(&job.spec().class));
+        let late = self.due(job).is_some_and(|due| {
+            now + Duration::try_from_secs_f64(run_s * 0.5).unwrap_or_default() > due
+        });
+        let one = usage[job.team].plus(Usage::of(job.spec(), 1));
+        Rank {
+            urgent: job.spec().priority <= Priority::High,
+            guaranteed: within_guarantee(&self.config.teams[job.team], one),
+            priority: job.spec().priority,
+            late,
+            work_s: job.demand().cpus * run_s,
+            accepted: job.accepted_at,
+        }
+    }
+
+    /// Jobs with waiting tasks that may be started now, in order.
+    fn queue(&self, usage: &[Usage], now: Instant) -> Vec<JobId> {
+        let uncounted = self.has_uncounted();
+        let waiting = self.jobs.iter().filter(|(_, job)| {
+            job.may_start() && job.waiting() > 0 && self.placeable(job, uncounted)
+        });
+        let mut ranked: Vec<(Rank, JobId)> =
+            waiting.map(|(id, job)| (self.rank(job, usage, now), id.clone())).collect();
+        ranked.sort_by(|(a, _), (b, _)| {
+            b.urgent
+                .cmp(&a.urgent)
+                .then(b.guaranteed.cmp(&a.guaranteed))
+                .then(a.priority.cmp(&b.priority))
+                .then(a.late.cmp(&b.late))
+                .then(a.work_s.partial_cmp(&b.work_s).unwrap_or(Ordering::Equal))
+                .then(a.accepted.cmp(&b.accepted))
+        });
+        ranked.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Tasks of jobs that are not known: what they take of a limit can't be told.
+    fn has_uncounted(&self) -> bool {
+        let mut held = self.machines.values().flat_map(|m| m.held.values());
+        held.any(|h| h.takes_room() && h.team.is_none())
+    }
+
+    /// Assigns waiting tasks to machines with room.
+    pub fn plan(&mut self, now: Instant) {
+        let silence = self.config.report_interval.mul_f64(2.0) + Duration::from_secs(1);
+        let mut rooms: Vec<Room> = Vec::new();
+        for machine in self.machines.values() {
+            if !machine.takes_work(now, silence)
+                || (machine.slowness > SLOW && machine.slowness_samples >= SLOW_SAMPLES)
+            {
+                continue;
+            }
+            let probing = machine.failures > 0;
+            match machine.free() {
+                Some(free) if !probing || machine.is_empty() => {
+                    let (name, zone) = (machine.name.clone(), machine.zone.clone());
+                    rooms.push(Room { name, free, zone, probing });
+                }
+                _ => {}
+            }
+        }
+        if rooms.is_empty() && self.jobs.is_empty() {
+            return;
+        }
+        let mut usage = self.usage();
+        for id in self.queue(&usage, now) {
+            self.place_job(&id, &mut rooms, &mut usage, now);
+        }
+        self.preempt(&mut usage, now);
+    }
+
+    fn place_job(&mut self, id: &JobId, rooms: &mut [Room], usage: &mut [Usage], now: Instant) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let need = Need::of(&job.record.spec);
+        let one = Usage::of(&job.record.spec, 1);
+        let team = &self.config.teams[job.team];
+        let mut candidates: Vec<usize> = Vec::new();
+        for (n, room) in rooms.iter().enumerate() {
+            let machine = &self.machines[&room.name];
+            let failed = job.failed_on.contains(&room.name);
+            if machine.allows(&job.record.spec) && room.free.holds(&need) && !failed {
+                candidates.push(n);
+            }
+        }
+        if candidates.is_empty() {
+            return;
+        }
+        let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+        for placed in job.active().values() {
+            if let Some(machine) = self.machines.get(&placed.machine) {
+                *zones.entry(machine.zone.clone()).or_default() += 1;
+            }
+        }
+        let same_zone = job.record.spec.one_zone.then(|| match zones.keys().next() {
+            Some(zone) => zone.clone(),
+            None => roomiest_zone(rooms, &candidates, &need),
+        });
+        loop {
+            if !within_limit(team, usage[job.team].plus(one)) {
+                return;
+            }
+            let cap = job.record.spec.zone_cap();
+            candidates.retain(|&n| {
+                let room = &rooms[n];
+                room.free.holds(&need)
+                    && same_zone.as_ref().is_none_or(|zone| *zone == room.zone)
+                    && zones.get(&room.zone).copied().unwrap_or(0) < cap
+            });
+            let sample = self.config.placement_sample.max(1);
+            let picks: Vec<usize> = if candidates.len() > sample {
+                let chosen = index::sample(&mut self.rng, candidates.len(), sample);
+                chosen.into_iter().map(|i| candidates[i]).collect()
+            } else {
+                candidates.clone()
+            };
+            let image = &job.record.spec.image;
+            let best = picks.into_iter().max_by(|&a, &b| {
+                let holds = |n: usize| self.machines[&rooms[n].name].has_image(image);
+                let free = |n: usize| rooms[n].free.cpus;
+                (holds(a).cmp(&holds(b)))
+                    .then(free(a).partial_cmp(&free(b)).unwrap_or(Ordering::Equal))
+            });
+            let Some(best) = best else { return };
+            let Some(index) = job.take_waiting() else {
+                return;
+            };
+            let room = &mut rooms[best];
+            let Some(machine) = self.machines.get_mut(&room.name) else {
+                return;
+            };
+            let attempt = job.next_attempt();
+            let task = corkfield_wire::TaskId { job: id.clone(), index };
+            let held = Held {
+                state: HeldState::Assigned,
+                since: now,
+                spec: Some(need),
+                team: Some(job.team),
+                stop: None,
+            };
+            if machine.held.is_empty() {
+                self.actions.push(Action::Answer(room.name.clone()));
+            }
+            machine.held.insert((task, attempt), held);
+            machine.touch_image(&job.record.spec.image, job.record.spec.image_gb);
+            job.place(index, &room.name, attempt);
+            *zones.entry(room.zone.clone()).or_default() += 1;
+            usage[job.team] = usage[job.team].plus(one);
+            room.free.cpus -= need.cpus;
+            room.free.gpus -= need.gpus;
+            room.free.memory_gb -= need.memory_gb;
+            if room.probing {
+                room.free.cpus = -1.0;
+            }
+        }
+    }
+
+    /// Stops work of lower priority, or beyond its team's guarantee, for work that waits.
+    fn preempt(&mut self, usage: &mut [Usage], now: Instant) {
+        let silence = self.config.report_interval.mul_f64(2.0) + Duration::from_secs(1);
+        // Room that is being made already.
+        let mut coming: f64 = 0.0;
+        for machine in self.machines.values() {
+            coming += machine
+                .held
+                .values()
+                .filter(|h| h.takes_room() && h.stop.is_some())
+                .filter_map(|h| h.spec.as_ref().map(|s| s.cpus))
+                .sum::<f64>();
+        }
+        for id in self.queue(usage, now) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let spec = job.spec().clone();
+            let team = job.team;
+            let one = Usage::of(&spec, 1);
+            let waited = now.saturating_duration_since(job.first_wait);
+            if waited < Duration::from_secs(1) {
+                continue;
+            }
+            let mut wanted = job.waiting();
+            let covered = (coming / spec.cpus.max(0.01)).floor();
+            let covered = covered.min(f64::from(wanted));
+            coming -= covered * spec.cpus;
+            wanted -= covered as u32;
+            let need = Need::of(&spec);
+            let failed_on = job.failed_on.clone();
+            let names: Vec<String> = self.machines.keys().cloned().collect();
+            for name in names {
+                if wanted == 0 {
+                    break;
+                }
+                let machine = &self.machines[&name];
+                if !machine.takes_work(now, silence)
+                    || !machine.allows(&spec)
+                    || machine.failures > 0
+                    || failed_on.contains(&name)
+                {
+                    continue;
+                }
+                let Some(mut free) = machine.free() else {
+                    continue;
+                };
+                let mut victims: Vec<(f64, corkfield_wire::TaskId, u64, Duration)> = Vec::new();
+                for ((task, attempt), held) in &machine.held {
+                    let running = matches!(held.state, HeldState::Running | HeldState::Fetching);
+                    let Some(other) = self.jobs.get(&task.job) else {
+                        continue;
+                    };
+                    if !running || held.stop.is_some() {
+                        continue;
+                    }
+                    let lower = other.spec().priority > spec.priority;
+                    let owed = other.team != team
+                        && within_guarantee(&self.config.teams[team], usage[team].plus(one))
+                        && self.beyond_guarantee(other.team, usage);
+                    if !(lower || owed) {
+                        continue;
+                    }
+                    let ran = now.saturating_duration_since(held.since).as_secs_f64();
+                    let run_s = other.expected_run_s(self.correction(&other.spec().class));
+                    let running = held.state == HeldState::Running;
+                    if running && run_s - ran < NEARLY_DONE_S {
+                        continue;
+                    }
+                    let saves = running && other.spec().checkpoint_s > 0.0;
+                    let loss = if saves {
+                        other.spec().save_s
+                    } else if running {
+                        ran
+                    } else {
+                        0.0
+                    };
+                    let grace = if saves { other.spec().save_s + 1.0 } else { 0.0 };
+                    let grace = Duration::try_from_secs_f64(grace).unwrap_or_default();
+                    victims.push((loss * other.spec().cpus, task.clone(), *attempt, grace));
+                }
+                victims.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal));
+                let mut chosen = Vec::new();
+                while wanted > 0 {
+                    let mut batch = Vec::new();
+                    let mut room = free;
+                    let mut left = victims.iter().skip(chosen.len());
+                    while !room.holds(&need) {
+                        let Some(victim) = left.next() else { break };
+                        if let Some(spec) = self.jobs.get(&victim.1.job).map(Job::spec) {
+                            room.cpus += spec.cpus;
+                            room.gpus += spec.gpus;
+                            room.memory_gb += spec.memory_gb;
+                        }
+                        batch.push(victim.clone());
+                    }
+                    if !room.holds(&need) || batch.is_empty() {
+                        break;
+                    }
+                    free = room;
+                    free.cpus -= need.cpus;
+                    free.gpus -= need.gpus;
+                    free.memory_gb -= need.memory_gb;
+                    usage[team] = usage[team].plus(one);
+                    wanted -= 1;
+                    chosen.extend(batch);
+                }
+                if chosen.is_empty() {
+                    continue;
+                }
+                tracing::debug!(job = %id, machine = %name, stopped = chosen.len(), "preempting");
+                let Some(machine) = self.machines.get_mut(&name) else {
+                    continue;
+                };
+                let mut orders = Vec::new();
+                for (_, task, attempt, grace) in chosen {
+                    if let Some(held) = machine.held.get_mut(&(task.clone(), attempt)) {
+                        held.stop = Some(grace);
+                        let grace_s = grace.as_secs_f64();
+                        orders.push(Order::Stop { task, attempt, grace_s });
+                    }
+                }
+                let action = direct(machine, orders);
+                self.actions.push(action);
+            }
+        }
+    }
+
+    fn beyond_guarantee(&self, team: usize, usage: &[Usage]) -> bool {
+        let team_settings = &self.config.teams[team];
+        let has = team_settings.cpus > 0.0 || team_settings.gpus > 0.0;
+        !has || !within_guarantee(team_settings, usage[team])
+    }
+}
+
+fn roomiest_zone(rooms: &[Room], candidates: &[usize], need: &Need) -> String {
+    let mut by_zone: BTreeMap<&str, f64> = BTreeMap::new();
+    for &n in candidates {
+        let slots = (rooms[n].free.cpus / need.cpus.max(0.01)).floor();
+        *by_zone.entry(&rooms[n].zone).or_default() += slots;
+    }
+    let best = by_zone.into_iter().max_by(|a, b| a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal));
+    best.map(|(zone, _)| zone.to_owned()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/core/src/planner.rs
@@ -0,0 +1,929 @@
+//! The planner: the one view of all jobs and machines, rebuilt from records and reports.
+//!
+//! Safety rules are named S1 to S12 as in `docs/design.md`.
+
+use crate::config::Config;
+use crate::job::{Job, JobState, Placed};
+use crate::machine::{Held, HeldState, Machine, MachineState, Need, Recorded};
+use crate::renting::Renting;
+use crate::team::{self, Usage};
+use corkfield_wire::cloud::{ListedMachine, ListedState, MachineType, RentRequest, MAX_DELETE};
+use corkfield_wire::records::{JobRecord, MachineRecord, CHUNK_TASKS};
+use corkfield_wire::worker::{ExitCause, Order, Report, TaskPhase, TaskReport};
+use corkfield_wire::{JobId, TaskId, TaskSet};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Orders in one answer; keeps the answer's only line far below 64 KiB.
+const MAX_ORDERS: usize = 250;
+/// Names of machines that are gone, kept so that late messages don't bring them back.
+const MAX_GONE: usize = 2000;
+/// A decision that no report came to fetch is taken back after this time.
+const ASSIGNED_KEEP: Duration = Duration::from_secs(5);
+const RETRY: Duration = Duration::from_secs(3);
+/// A claim held this long without a failure is refunded.
+const HEALTHY: Duration = Duration::from_secs(10);
+
+/// What the world outside should do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// A report whose answer is held back should be answered now.
+    Answer(String),
+    /// Orders that are safe at any time (stops), straight to the machine.
+    Direct {
+        machine: String,
+        addr: String,
+        session: u64,
+        orders: Vec<Order>,
+    },
+    /// The state service has to know the machine before anything starts on it.
+    Record(String, MachineRecord),
+    /// The machine is surely gone, and its record with it.
+    Erase(String),
+    Rent(RentRequest),
+    Delete(Vec<String>),
+}
+
+/// What to do with a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Accept,
+    /// Older than what is known, or of a machine that is gone: no answer with 200.
+    Stale,
+    /// The worker has seen a higher term than ours.
+    HigherTerm(u64),
+}
+
+/// A write that settles finished tasks.
+#[derive(Debug, Clone)]
+pub struct Settlement {
+    pub job: JobId,
+    pub version: u64,
+    pub record: JobRecord,
+    /// Finished numbers by chunk, for jobs too large to keep them in the record.
+    pub chunks: Vec<(u32, TaskSet)>,
+    pub tasks: Vec<u32>,
+    pub finishes: bool,
+}
+
+/// Figures for operators.
+#[derive(Debug, Clone, Default)]
+pub struct Overview {
+    pub jobs: usize,
+    pub waiting_tasks: u64,
+    pub running_tasks: u64,
+    pub oldest_waiting: Option<(JobId, Duration)>,
+    pub set_aside: Vec<JobId>,
+    pub most_claims: u32,
+    pub machines_up: usize,
+    pub machines_booting: usize,
+    pub unfenced: usize,
+}
+
+pub struct Planner {
+    pub(crate) config: Config,
+    term: u64,
+    pub(crate) types: Vec<MachineType>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) machines: BTreeMap<String, Machine>,
+    gone: VecDeque<String>,
+    /// Machines recorded by earlier planners whose tasks are not known yet (S7).
+    unfenced: BTreeSet<String>,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) rng: SmallRng,
+    pub(crate) renting: Renting,
+    /// Run time seen against the owners' guesses, by class: count and sum of ratios.
+    pub(crate) corrections: HashMap<String, (u32, f64)>,
+    last_delete: Option<Instant>,
+}
+
+impl Planner {
+    pub fn new(config: Config, term: u64, seed: u64) -> Self {
+        Self {
+            config,
+            term,
+            types: Vec::new(),
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            gone: VecDeque::new(),
+            unfenced: BTreeSet::new(),
+            actions: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            renting: Renting::new(term),
+            corrections: HashMap::new(),
+            last_delete: None,
+        }
+    }
+
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Takes a higher term after a worker showed one that is higher than ours.
+    pub fn raise_term(&mut self, term: u64) {
+        self.term = self.term.max(term);
+    }
+
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    pub fn set_types(&mut self, types: Vec<MachineType>) {
+        for machine in self.machines.values_mut() {
+            machine.size = types.iter().find(|t| t.name == machine.type_name).cloned();
+        }
+        self.types = types;
+    }
+
+    pub fn job(&self, id: &JobId) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    /// Jobs that have to be claimed once more.
+    pub fn lapsed_jobs(&self) -> Vec<JobId> {
+        let lapsed = self.jobs.iter().filter(|(_, j)| j.state() == JobState::Lapsed);
+        lapsed.map(|(id, _)| id.clone()).collect()
+    }
+
+    pub fn live_jobs(&self) -> Vec<JobId> {
+        self.jobs.iter().filter(|(_, j)| j.is_live()).map(|(id, _)| id.clone()).collect()
+    }
+
+    pub fn machine(&self, name: &str) -> Option<&Machine> {
+        self.machines.get(name)
+    }
+
+    // ----- take-over -----
+
+    /// A machine on which an earlier planner may have started tasks. Nothing that was claimed
+    /// before is started until it has reported under our term, or is gone, or has lapsed.
+    pub fn recorded_machine(&mut self, name: &str, record: &MachineRecord, now: Instant) {
+        let MachineRecord { addr, machine_type, zone, spot } = record.clone();
+        let mut machine = Machine::new(name.to_owned(), machine_type, zone, spot, now);
+        machine.addr = addr;
+        machine.recorded = Recorded::Yes;
+        machine.size = self.types.iter().find(|t| t.name == machine.type_name).cloned();
+        // S6: the planner before us may have answered it until its fresh state ran out.
+        machine.answered_at = now + self.config.answer_limit;
+        machine.enter(MachineState::Up);
+        self.unfenced.insert(name.to_owned());
+        self.machines.insert(name.to_owned(), machine);
+    }
+
+    /// Machines that have to be asked, under our term, what they hold.
+    pub fn fence_targets(&self) -> Vec<(String, String, u64)> {
+        let waiting = self.unfenced.iter().filter_map(|name| self.machines.get(name));
+        waiting.map(|m| (m.name.clone(), m.addr.clone(), m.session.max(1))).collect()
+    }
+
+    /// All tasks that earlier planners started are accounted for.
+    pub fn is_complete(&self) -> bool {
+        self.unfenced.is_empty()
+    }
+
+    // ----- jobs -----
+
+    /// A job that was claimed, with its finished tasks.
+    pub fn claimed(
+        &mut self,
+        record: JobRecord,
+        finished: TaskSet,
+        version: u64,
+        age: Duration,
+        now: Instant,
+    ) {
+        let Some(team) = self.config.teams.iter().position(|t| t.name == record.spec.team) else {
+            tracing::error!(job = %record.spec.id, "claimed a job of an unknown team");
+            return;
+        };
+        let id = record.spec.id.clone();
+        if let Some(job) = self.jobs.get_mut(&id).filter(|j| j.is_live()) {
+            job.reclaimed(record, version, now);
+            if job.state() == JobState::SetAside {
+                self.stop_job(&id);
+            }
+            return;
+        }
+        let mut job = Job::new(record, finished, version, team, age, now);
+        // Tasks that fresh machines reported before the claim are taken up now.
+        for machine in self.machines.values_mut() {
+            for ((task, attempt), held) in machine.held.iter_mut().filter(|((t, _), _)| t.job == id)
+            {
+                held.spec = Some(Need::of(job.spec()));
+                held.team = Some(team);
+                if held.state == HeldState::Done {
+                    job.finish(task.index);
+                } else if held.takes_room() && !job.active().contains_key(&task.index) {
+                    held.stop = None;
+                    job.place(task.index, &machine.name, *attempt);
+                }
+            }
+        }
+        tracing::debug!(job = %id, generation = job.record.generation, claims = job.record.claims, "claimed");
+        self.jobs.insert(id, job);
+    }
+
+    /// The job is cancelled, done, or another's: nothing of it may start any more.
+    pub fn close_job(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.enter(JobState::Closing);
+        tracing::debug!(job = %id, "closed");
+        self.stop_job(id);
+        self.sweep_job(id);
+    }
+
+    fn stop_job(&mut self, id: &JobId) {
+        let mut orders: Vec<Action> = Vec::new();
+        for machine in self.machines.values_mut() {
+            machine
+                .held
+                .retain(|(task, _), held| !(task.job == *id && held.state == HeldState::Assigned));
+            let mut stops = Vec::new();
+            for ((task, attempt), held) in machine.held.iter_mut() {
+                if task.job == *id && held.takes_room() {
+                    held.stop = Some(Duration::ZERO);
+                    let (task, attempt) = (task.clone(), *attempt);
+                    stops.push(Order::Stop { task, attempt, grace_s: 0.0 });
+                }
+            }
+            if !stops.is_empty() && machine.session > 0 {
+                orders.push(direct(machine, stops));
+            }
+        }
+        self.actions.extend(orders);
+        if let Some(job) = self.jobs.get_mut(id) {
+            let id = id.clone();
+            let held = |index: u32, placed: &Placed| {
+                let key = (TaskId { job: id.clone(), index }, placed.attempt);
+                self.machines.get(&placed.machine).is_some_and(|m| m.held.contains_key(&key))
+            };
+            let active = job.active().iter();
+            let lost: Vec<(u32, Placed)> =
+                active.filter(|(n, p)| !held(**n, p)).map(|(n, p)| (*n, p.clone())).collect();
+            for (index, placed) in lost {
+                job.release(index, &placed.machine, placed.attempt);
+            }
+        }
+    }
+
+    fn sweep_job(&mut self, id: &JobId) {
+        if self.jobs.get(id).is_some_and(|j| !j.is_live() && j.active().is_empty()) {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// Settling writes that are due. Each has to be answered with [`Self::settled`] or
+    /// [`Self::settling_failed`].
+    pub fn settlements(&mut self, most: usize, now: Instant) -> Vec<Settlement> {
+        let mut due = Vec::new();
+        for job in self.jobs.values_mut() {
+            if due.len() >= most {
+                break;
+            }
+            if job.settling || !job.is_live() {
+                continue;
+            }
+            let display = (job.running > 0) != (job.record.running > 0);
+            // A claim that harmed nobody for a while didn't end because of the job (S12).
+            let refund = job.record.claims > 0
+                && !job.refunded
+                && job.failures == 0
+                && now.saturating_duration_since(job.claimed_at) > HEALTHY;
+            if job.unstored().is_empty() && !display && !refund {
+                continue;
+            }
+            let mut record = job.record.clone();
+            let mut chunks: BTreeMap<u32, TaskSet> = BTreeMap::new();
+            let mut tasks = Vec::new();
+            if record.is_chunked() {
+                for &index in job.unstored() {
+                    // A few chunks at a time stay below the limits of a transaction.
+                    if chunks.len() < 2 || chunks.contains_key(&(index / CHUNK_TASKS)) {
+                        let (chunk, set) = job.chunk(index);
+                        chunks.insert(chunk, set);
+                        tasks.push(index);
+                    }
+                }
+                record.done = record.done.saturating_add(u32::try_from(tasks.len()).unwrap_or(0));
+            } else {
+                tasks.extend_from_slice(job.unstored());
+                record.finished = job.finished().clone();
+                record.done = record.finished.len();
+            }
+            record.running = job.running;
+            if refund {
+                job.refunded = true;
+                record.claims -= 1;
+            }
+            if !tasks.is_empty() {
+                // Progress resets the count of claims (S12).
+                record.claims = 0;
+            }
+            let finishes = record.done >= record.spec.tasks;
+            job.settling = true;
+            due.push(Settlement {
+                job: record.spec.id.clone(),
+                version: job.version,
+                record,
+                chunks: chunks.into_iter().collect(),
+                tasks,
+                finishes,
+            });
+        }
+        due
+    }
+
+    pub fn settled(&mut self, settlement: &Settlement, version: u64) {
+        let Some(job) = self.jobs.get_mut(&settlement.job) else {
+            return;
+        };
+        job.settling = false;
+        job.stored(&settlement.tasks);
+        job.version = version;
+        job.record = settlement.record.clone();
+        if settlement.finishes {
+            tracing::debug!(job = %settlement.job, tasks = settlement.record.done, "job done");
+            self.close_job(&settlement.job);
+        }
+    }
+
+    /// The write may be tried again from the record as it was found, if that is still ours.
+    pub fn settling_failed(&mut self, id: &JobId, found: Option<(JobRecord, TaskSet, u64)>) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.settling = false;
+        if let Some((record, finished, version)) = found {
+            job.found_stored(&finished);
+            job.record = record;
+            job.version = version;
+        }
+    }
+
+    // ----- reports -----
+
+    /// Takes a message of a worker: one of its own reports, or its answer to direct orders.
+    pub fn on_report(&mut self, report: &Report, own_report: bool, now: Instant) -> Verdict {
+        if report.term > self.term {
+            return Verdict::HigherTerm(report.term);
+        }
+        if self.gone.iter().any(|name| *name == report.machine) {
+            return Verdict::Stale;
+        }
+        let known = self.machines.contains_key(&report.machine);
+        if !known {
+            tracing::debug!(machine = %report.machine, kind = %report.machine_type, "new machine");
+        }
+        let types = &self.types;
+        let machine = self.machines.entry(report.machine.clone()).or_insert_with(|| {
+            let mut machine = Machine::new(
+                report.machine.clone(),
+                report.machine_type.clone(),
+                report.zone.clone(),
+                report.spot,
+                now,
+            );
+            machine.size = types.iter().find(|t| t.name == machine.type_name).cloned();
+            machine
+        });
+        // Held-back messages: older ones never count (S10), nor do those of sessions that
+        // are known to have ended (S5).
+        if report.session <= machine.ended_sessions
+            || (report.session, report.seq) <= (machine.session, machine.seq)
+        {
+            return Verdict::Stale;
+        }
+        machine.addr.clone_from(&report.addr);
+        machine.heard_at = Some(now);
+        machine.notice = report.notice_s.is_some();
+        if machine.state() == MachineState::Booting {
+            machine.enter(MachineState::Up);
+        }
+        let new_session = report.session > machine.session && machine.session > 0;
+        machine.session = report.session;
+        machine.seq = report.seq;
+        let name = report.machine.clone();
+        if new_session {
+            // With its session the worker killed and forgot everything it held.
+            self.drop_held(&name, now, |held| held.state != HeldState::Assigned);
+        }
+        let machine = self.machines.get_mut(&name).expect("inserted above");
+        // S7: only what was sent after the worker took our term is fresh. A machine without a
+        // record was never given a task by anybody.
+        let unused = machine.recorded == Recorded::No && report.tasks.is_empty();
+        machine.fresh = machine.fresh || unused || report.term == self.term;
+        if !machine.fresh {
+            return Verdict::Accept;
+        }
+        machine.lapsed = false;
+        if machine.recorded == Recorded::No {
+            machine.recorded = Recorded::Writing;
+            let record = MachineRecord {
+                addr: machine.addr.clone(),
+                machine_type: machine.type_name.clone(),
+                zone: machine.zone.clone(),
+                spot: machine.spot,
+            };
+            self.actions.push(Action::Record(name.clone(), record));
+        }
+        self.sync_tasks(&name, report, own_report, now);
+        self.unfenced.remove(&name);
+        if report.notice_s.is_some() {
+            self.drain_noticed(&name);
+        }
+        Verdict::Accept
+    }
+
+    fn sync_tasks(&mut self, name: &str, report: &Report, own_report: bool, now: Instant) {
+        let mut reported: BTreeSet<(TaskId, u64)> = BTreeSet::new();
+        for task in &report.tasks {
+            reported.insert((task.task.clone(), task.attempt));
+            self.sync_task(name, task, now);
+        }
+        let (session, seq) = (report.session, report.seq);
+        let missing = |key: &(TaskId, u64), held: &Held| {
+            let settled = match held.state {
+                HeldState::Assigned => false,
+                // A start travels only in the answer to a report, and the worker drops it after
+                // a while (S3). Only a later report of its own shows that it was not carried
+                // out; an answer to direct orders may have been made while it was under way.
+                HeldState::Ordered { session: s, seq: n } => own_report && (session, seq) > (s, n),
+                _ => true,
+            };
+            settled && !reported.contains(key)
+        };
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let lost: Vec<(TaskId, u64)> =
+            machine.held.iter().filter(|(k, h)| missing(k, h)).map(|(k, _)| k.clone()).collect();
+        for key in lost {
+            self.release(name, &key);
+        }
+    }
+
+    fn sync_task(&mut self, name: &str, task: &TaskReport, now: Instant) {
+        let key = (task.task.clone(), task.attempt);
+        let job = self.jobs.get_mut(&task.task.job);
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let state = match (task.phase, task.cause) {
+            (TaskPhase::Fetching, _) => HeldState::Fetching,
+            (TaskPhase::Running | TaskPhase::Other, _) => HeldState::Running,
+            (TaskPhase::Saving, _) => HeldState::Saving,
+            (TaskPhase::Exited, Some(ExitCause::Done)) => HeldState::Done,
+            (TaskPhase::Exited, _) => HeldState::Exited,
+        };
+        let before = machine.held.get(&key).map(|h| (h.state, h.since));
+        let held = machine.held.entry(key.clone()).or_insert_with(|| Held {
+            state,
+            since: now,
+            spec: None,
+            team: None,
+            stop: None,
+        });
+        if before.is_none_or(|(known, _)| known != state) {
+            tracing::debug!(task = %task.task, machine = name, attempt = task.attempt, ?state, "task");
+        }
+        held.enter(state, now);
+        let Some(job) = job else {
+            // Cancelled, done, or not claimed yet; stopped once all jobs are claimed.
+            return;
+        };
+        held.spec = Some(Need::of(job.spec()));
+        held.team = Some(job.team);
+        let index = task.task.index;
+        match state {
+            HeldState::Done => {
+                if job.finish(index) {
+                    machine.failures = 0;
+                    machine.failed_jobs.clear();
+                    machine.completed += 1;
+                    if let Some((HeldState::Running, since)) = before {
+                        let ran = now.duration_since(since).as_secs_f64();
+                        Self::note_run(&mut self.corrections, job, machine, ran);
+                    }
+                }
+            }
+            HeldState::Exited => {
+                if !matches!(before, Some((HeldState::Exited, _))) {
+                    job.release(index, name, task.attempt);
+                    self.note_exit(name, task, now);
+                }
+            }
+            _ if !job.is_live()
+                || job.state() == JobState::SetAside
+                || job.finished().contains(index) =>
+            {
+                held.stop = Some(Duration::ZERO);
+            }
+            _ => match job.active().get(&index) {
+                None => {
+                    // Started by an earlier planner, or found again: it goes on.
+                    job.place(index, name, task.attempt);
+                    machine.touch_image(&job.record.spec.image, job.record.spec.image_gb);
+                }
+                Some(placed) if placed.machine == name && placed.attempt == task.attempt => {}
+                Some(placed) => {
+                    let other = &placed.machine;
+                    tracing::warn!(task = %task.task, machine = name, other, "task reported twice");
+                    held.stop = Some(Duration::ZERO);
+                }
+            },
+        }
+        self.sweep_job(&task.task.job);
+    }
+
+    fn note_run(
+        corrections: &mut HashMap<String, (u32, f64)>,
+        job: &mut Job,
+        machine: &mut Machine,
+        ran: f64,
+    ) {
+        if job.runs.0 >= 2 {
+            let mean = job.runs.1 / f64::from(job.runs.0);
+            let ratio = (ran / mean.max(0.5)).clamp(0.2, 10.0);
+            machine.slowness = machine.slowness * 0.7 + ratio * 0.3;
+            machine.slowness_samples += 1;
+        }
+        job.runs.0 += 1;
+        job.runs.1 += ran;
+        let guess = job.record.spec.estimate_s;
+        if guess > 0.0 {
+            let class = corrections.entry(job.record.spec.class.clone()).or_insert((0, 0.0));
+            if class.0 >= 200 {
+                *class = (class.0 / 2, class.1 / 2.0);
+            }
+            class.0 += 1;
+            class.1 += (ran / guess).clamp(0.05, 20.0);
+        }
+    }
+
+    fn note_exit(&mut self, name: &str, task: &TaskReport, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.task.job) else {
+            return;
+        };
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        match task.cause {
+            Some(ExitCause::Error) => {
+                tracing::debug!(task = %task.task, machine = name, "task failed");
+                job.failures += 1;
+                if !job.failed_on.iter().any(|m| m == name) {
+                    job.failed_on.push(name.to_owned());
+                }
+                // A job that fails everywhere says nothing about the machines it fails on.
+                if job.failed_on.len() <= 2 || job.runs.0 > 0 {
+                    machine.failures += 1;
+                    let id = task.task.job.as_str();
+                    if !machine.failed_jobs.iter().any(|j| j == id) {
+                        machine.failed_jobs.push(id.to_owned());
+                    }
+                }
+                if job.failed_on.len() >= 3 && job.may_start() {
+                    let wait = 2f64.powi(i32::try_from(job.failures.min(6)).unwrap_or(6));
+                    job.enter(JobState::BackingOff(now + Duration::from_secs_f64(wait)));
+                    tracing::info!(job = %task.task.job, wait_s = wait, "job fails on several machines");
+                }
+                let proven =
+                    machine.failed_jobs.len() >= 2 || (machine.failures >= 2 && job.runs.0 > 0);
+                if proven && machine.state() == MachineState::Up {
+                    tracing::info!(
+                        machine = name,
+                        failures = machine.failures,
+                        "machine fails its tasks; returned"
+                    );
+                    machine.enter(MachineState::Draining);
+                }
+            }
+            Some(ExitCause::NoRoom | ExitCause::Busy) => {
+                machine.shunned_until = Some(now + Duration::from_secs(2));
+            }
+            Some(ExitCause::Unknown) => {
+                job.enter(JobState::BackingOff(now + Duration::from_secs(3)));
+            }
+            _ => {}
+        }
+    }
+
+    fn drain_noticed(&mut self, name: &str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        let jobs = &self.jobs;
+        let mut stops = Vec::new();
+        for ((task, attempt), held) in machine.held.iter_mut() {
+            let Some(job) = jobs.get(&task.job) else {
+                continue;
+            };
+            let saves = job.spec().checkpoint_s > 0.0;
+            if held.state == HeldState::Running && saves && held.stop.is_none() {
+                let grace = Duration::from_secs_f64(job.spec().save_s + 1.0);
+                held.stop = Some(grace);
+                let (task, attempt) = (task.clone(), *attempt);
+                stops.push(Order::Stop { task, attempt, grace_s: grace.as_secs_f64() });
+            }
+        }
+        if !stops.is_empty() {
+            let action = direct(machine, stops);
+            self.actions.push(action);
+        }
+    }
+
+    /// Whether the answer to a report may wait for work: the machine has nothing to tell.
+    pub fn may_hold(&self, name: &str) -> bool {
+        self.machines.get(name).is_some_and(|m| {
+            m.fresh && m.held.is_empty() && m.state() == MachineState::Up && !m.notice
+        })
+    }
+
+    /// The answer to the report with this session and number. `may_start` is false while our
+    /// own lease may have ended (S4). Every call counts as an answer with 200.
+    pub fn orders(
+        &mut self,
+        name: &str,
+        session: u64,
+        seq: u64,
+        may_start: bool,
+        now: Instant,
+    ) -> Vec<Order> {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return Vec::new();
+        };
+        machine.answered_at = now;
+        if !machine.fresh {
+            return Vec::new();
+        }
+        let mut orders = Vec::new();
+        for ((task, attempt), held) in &mut machine.held {
+            let job = self.jobs.get(&task.job);
+            let forget = match held.state {
+                // S9: stored before it is forgotten.
+                HeldState::Done => match job {
+                    Some(job) => !job.is_live() || job.is_stored(task.index),
+                    None => self.unfenced.is_empty(),
+                },
+                HeldState::Exited => true,
+                _ => false,
+            };
+            if forget {
+                orders.push(Order::Forget { task: task.clone(), attempt: *attempt });
+            } else if job.is_none() && held.takes_room() {
+                // S11: nobody's task, so cancelled, done or lost.
+                held.stop = Some(Duration::ZERO);
+            }
+        }
+        orders.extend(machine.stops());
+        orders.truncate(MAX_ORDERS);
+        let current = (machine.session, machine.seq) == (session, seq);
+        if may_start && current && machine.takes_work(now, Duration::MAX) {
+            for ((task, attempt), held) in &mut machine.held {
+                if held.state != HeldState::Assigned || orders.len() >= MAX_ORDERS {
+                    continue;
+                }
+                let Some(job) = self.jobs.get(&task.job).filter(|j| j.may_start()) else {
+                    continue;
+                };
+                // The order's generation must be that of the job's record.
+                debug_assert_eq!(*attempt >> 24, job.record.generation);
+                held.enter(HeldState::Ordered { session, seq }, now);
+                tracing::debug!(%task, machine = name, attempt, seq, "start ordered");
+                orders.push(Order::Start { task: task.clone(), attempt: *attempt });
+            }
+        }
+        orders
+    }
+
+    /// The machine's record is in the state service.
+    pub fn machine_recorded(&mut self, name: &str, stored: bool) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.recorded = if stored { Recorded::Yes } else { Recorded::No };
+        }
+    }
+
+    // ----- machines that go -----
+
+    /// Takes a task off a machine that surely no longer has it.
+    fn release(&mut self, name: &str, key: &(TaskId, u64)) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if let Some(held) = machine.held.remove(key) {
+            tracing::debug!(task = %key.0, machine = name, attempt = key.1, was = ?held.state, "task off");
+            if let Some(job) = self.jobs.get_mut(&key.0.job) {
+                job.release(key.0.index, name, key.1);
+            }
+            self.sweep_job(&key.0.job);
+        }
+    }
+
+    fn drop_held(&mut self, name: &str, _now: Instant, which: impl Fn(&Held) -> bool) {
+        let Some(machine) = self.machines.get(name) else {
+            return;
+        };
+        let keys: Vec<(TaskId, u64)> =
+            machine.held.iter().filter(|(_, h)| which(h)).map(|(k, _)| k.clone()).collect();
+        for key in keys {
+            self.release(name, &key);
+        }
+    }
+
+    fn machine_gone(&mut self, name: &str, now: Instant) {
+        self.drop_held(name, now, |_| true);
+        if let Some(machine) = self.machines.remove(name) {
+            tracing::debug!(machine = name, "machine gone");
+            if machine.recorded != Recorded::No {
+                self.actions.push(Action::Erase(name.to_owned()));
+            }
+        }
+        self.unfenced.remove(name);
+        self.gone.push_back(name.to_owned());
+        if self.gone.len() > MAX_GONE {
+            self.gone.pop_front();
+        }
+    }
+
+    /// A deletion was answered with 200.
+    pub fn deleted(&mut self, names: &[String], now: Instant) {
+        for name in names {
+            self.machine_gone(name, now);
+        }
+    }
+
+    /// A whole list of the cloud, asked for at `asked`.
+    pub fn on_list(&mut self, list: &[ListedMachine], asked: Instant, now: Instant) {
+        let settle = self.config.list_settles_after();
+        let mut listed: BTreeSet<&str> = BTreeSet::new();
+        for entry in list {
+            listed.insert(&entry.name);
+            if self.gone.iter().any(|name| *name == entry.name) {
+                continue;
+            }
+            if entry.state == ListedState::Failed {
+                if self.machines.contains_key(&entry.name) {
+                    self.machine_gone(&entry.name, now);
+                    self.actions.push(Action::Delete(vec![entry.name.clone()]));
+                }
+                continue;
+            }
+            let types = &self.types;
+            let machine = self.machines.entry(entry.name.clone()).or_insert_with(|| {
+                let mut machine = Machine::new(
+                    entry.name.clone(),
+                    entry.machine_type.clone(),
+                    entry.zone.clone(),
+                    entry.spot,
+                    now,
+                );
+                let age = Duration::try_from_secs_f64(entry.age_s).unwrap_or_default();
+                machine.rented_at = now.checked_sub(age).unwrap_or(now);
+                machine.size = types.iter().find(|t| t.name == machine.type_name).cloned();
+                machine
+            });
+            machine.listed = Some(entry.state);
+            machine.missing = 0;
+            if machine.addr.is_empty() {
+                machine.addr.clone_from(&entry.addr);
+            }
+        }
+        let mut missing = Vec::new();
+        for machine in self.machines.values_mut() {
+            // It existed when we came to know it, and this list describes a later moment.
+            if !listed.contains(machine.name.as_str()) && asked >= machine.known_since + settle {
+                machine.missing += 1;
+                if machine.missing >= 2 {
+                    missing.push(machine.name.clone());
+                }
+            }
+        }
+        for name in missing {
+            tracing::debug!(machine = %name, "no longer listed");
+            self.machine_gone(&name, now);
+        }
+    }
+
+    /// Everything that only time brings about.
+    pub fn tick(&mut self, now: Instant) {
+        let lapse = self.config.lapse_after();
+        let names: Vec<String> = self.machines.keys().cloned().collect();
+        for name in &names {
+            let Some(machine) = self.machines.get_mut(name) else {
+                continue;
+            };
+            if !machine.lapsed
+                && machine.state() != MachineState::Booting
+                && now.saturating_duration_since(machine.answered_at) > lapse
+            {
+                // S5c: no controller can have answered it for longer than its lease.
+                tracing::debug!(machine = %name, "worker lease has lapsed");
+                machine.lapsed = true;
+                machine.fresh = false;
+                machine.ended_sessions = machine.session;
+                self.unfenced.remove(name);
+                self.drop_held(name, now, |_| true);
+                continue;
+            }
+            let silent =
+                machine.heard_at.is_none_or(|at| now.saturating_duration_since(at) > ASSIGNED_KEEP);
+            if silent {
+                self.drop_held(name, now, |held| held.state == HeldState::Assigned);
+            }
+        }
+        for job in self.jobs.values_mut() {
+            if matches!(job.state(), JobState::BackingOff(until) if now >= until) {
+                job.enter(JobState::Lapsed);
+            }
+            job.running = 0;
+        }
+        let mut running: BTreeMap<&JobId, u32> = BTreeMap::new();
+        for machine in self.machines.values() {
+            for ((task, _), held) in &machine.held {
+                if matches!(held.state, HeldState::Running | HeldState::Saving) {
+                    *running.entry(&task.job).or_default() += 1;
+                }
+            }
+        }
+        for (id, count) in running {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.running = count;
+            }
+        }
+        self.tick_machines(now);
+    }
+
+    fn tick_machines(&mut self, now: Instant) {
+        let mut delete = Vec::new();
+        let again = self.last_delete.is_none_or(|at| now.duration_since(at) >= RETRY);
+        for machine in self.machines.values_mut() {
+            if machine.state() == MachineState::Draining && machine.held.is_empty() {
+                machine.enter(MachineState::Deleting);
+                delete.push(machine.name.clone());
+            } else if machine.state() == MachineState::Deleting && again {
+                delete.push(machine.name.clone());
+            }
+        }
+        if again {
+            self.last_delete = Some(now);
+        }
+        for names in delete.chunks(MAX_DELETE) {
+            self.actions.push(Action::Delete(names.to_vec()));
+        }
+    }
+
+    pub(crate) fn usage(&self) -> Vec<Usage> {
+        let teams = 0..self.config.teams.len();
+        let sum =
+            |team| self.machines.values().fold(Usage::default(), |sum, m| sum.plus(m.usage(team)));
+        teams.map(sum).collect()
+    }
+
+    /// S8: a team with a limit starts nothing while tasks may exist that are not counted.
+    pub(crate) fn placeable(&self, job: &Job, uncounted: bool) -> bool {
+        let limited = team::is_limited(&self.config.teams[job.team]);
+        if self.unfenced.is_empty() {
+            return !(limited && uncounted);
+        }
+        !limited && job.record.generation <= 1
+    }
+
+    pub fn overview(&self, now: Instant) -> Overview {
+        let mut view = Overview { jobs: self.jobs.len(), ..Overview::default() };
+        view.unfenced = self.unfenced.len();
+        for (id, job) in &self.jobs {
+            view.waiting_tasks += u64::from(job.waiting());
+            view.running_tasks += u64::from(job.running);
+            view.most_claims = view.most_claims.max(job.record.claims);
+            if job.state() == JobState::SetAside {
+                view.set_aside.push(id.clone());
+            }
+            let age = now.saturating_duration_since(job.accepted_at);
+            let older = view.oldest_waiting.as_ref().is_none_or(|(_, oldest)| age > *oldest);
+            if job.waiting() > 0 && older {
+                view.oldest_waiting = Some((id.clone(), age));
+            }
+        }
+        for machine in self.machines.values() {
+            match machine.state() {
+                MachineState::Up => view.machines_up += 1,
+                MachineState::Booting => view.machines_booting += 1,
+                _ => {}
+            }
+        }
+        view
+    }
+}
+
+pub(crate) fn direct(machine: &Machine, orders: Vec<Order>) -> Action {
+    Action::Direct {
+        machine: machine.name.clone(),
+        addr: machine.addr.clone(),
+        session: machine.session,
+        orders,
+    }
+}
--- /dev/null
+++ b/crates/core/src/renting.rs
@@ -0,0 +1,224 @@
+//! Renting and returning machines.
+
+use crate::machine::{Machine, MachineState};
+use crate::placement::{SLOW, SLOW_SAMPLES};
+use crate::planner::{Action, Planner};
+use corkfield_wire::cloud::{MachineType, RentRequest, MAX_RENT};
+use corkfield_wire::JobSpec;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Work is spread over machines so that it would take about this long besides the boot.
+const HORIZON_S: f64 = 45.0;
+const MAX_BACKOFF: Duration = Duration::from_secs(60);
+
+/// Machine type, zone, and whether it is a spot machine.
+type Offer = (String, String, bool);
+
+pub(crate) struct Renting {
+    term: u64,
+    requests: u64,
+    backoff: BTreeMap<Offer, (Instant, u32)>,
+    under_way: BTreeMap<String, RentRequest>,
+}
+
+impl Renting {
+    pub fn new(term: u64) -> Self {
+        Self { term, requests: 0, backoff: BTreeMap::new(), under_way: BTreeMap::new() }
+    }
+}
+
+impl Planner {
+    /// A rental was answered, or given up without an answer. Machines of a late one turn up
+    /// in the list and in reports.
+    pub fn rented(
+        &mut self,
+        request: &RentRequest,
+        outcome: Result<Vec<String>, bool>,
+        now: Instant,
+    ) {
+        self.renting.under_way.remove(&request.request);
+        let offer = (request.machine_type.clone(), request.zone.clone(), request.spot);
+        match outcome {
+            Ok(names) => {
+                let short = names.len() < request.count as usize;
+                for name in names {
+                    let RentRequest { machine_type, zone, spot, .. } = request.clone();
+                    let size = self.types.iter().find(|t| t.name == machine_type).cloned();
+                    self.machines.entry(name.clone()).or_insert_with(|| {
+                        let mut machine = Machine::new(name, machine_type, zone, spot, now);
+                        machine.size = size;
+                        machine
+                    });
+                }
+                if short {
+                    self.renting.backoff.insert(offer, (now + Duration::from_secs(10), 1));
+                } else {
+                    self.renting.backoff.remove(&offer);
+                }
+            }
+            Err(no_capacity) => {
+                let failures = self.renting.backoff.get(&offer).map_or(0, |(_, n)| *n) + 1;
+                let base = if no_capacity { 5.0 } else { 2.0 };
+                let wait = Duration::from_secs_f64(base * 2f64.powi(failures.min(5) as i32 - 1));
+                self.renting.backoff.insert(offer, (now + wait.min(MAX_BACKOFF), failures));
+            }
+        }
+    }
+
+    /// Rents what the waiting work needs and returns what it doesn't.
+    pub fn adjust_machines(&mut self, now: Instant) {
+        if self.types.is_empty() {
+            return;
+        }
+        self.replace_late_boots(now);
+        let (wide, spot_wide) = self.wanted_cpus();
+        let supply = self.supply();
+        self.rent(wide, spot_wide, supply, now);
+        self.return_idle(wide, supply, now);
+    }
+
+    /// CPUs that the unfinished work could use, in all and on spot machines.
+    fn wanted_cpus(&self) -> (f64, f64) {
+        let mut all = 0.0;
+        let mut spot = 0.0;
+        for job in self.jobs.values().filter(|j| j.may_start()) {
+            let run_s = job.expected_run_s(self.correction(&job.spec().class));
+            let demand = job.demand().cpus;
+            // Tasks shorter than the horizon can follow one another on the same machine.
+            let want = demand * (run_s / HORIZON_S).min(1.0);
+            let want = want.max(job.spec().cpus);
+            all += want;
+            if job.spec().spot {
+                spot += want;
+            }
+        }
+        (all, spot)
+    }
+
+    fn supply(&self) -> f64 {
+        let working = |m: &&Machine| {
+            matches!(m.state(), MachineState::Up | MachineState::Booting) && !m.notice && !m.lapsed
+        };
+        let rented: f64 = self
+            .machines
+            .values()
+            .filter(working)
+            .filter_map(|m| m.size.as_ref().map(|t| t.cpus))
+            .sum();
+        let coming: f64 = self
+            .renting
+            .under_way
+            .values()
+            .filter_map(|r| {
+                let size = self.types.iter().find(|t| t.name == r.machine_type)?;
+                Some(size.cpus * f64::from(r.count))
+            })
+            .sum();
+        rented + coming
+    }
+
+    fn rent(&mut self, want: f64, spot_want: f64, supply: f64, now: Instant) {
+        let mut missing = want - supply;
+        if missing <= 0.0 {
+            return;
+        }
+        let mut offers: Vec<(f64, bool, MachineType, String)> = Vec::new();
+        for kind in &self.types {
+            for zone in &kind.zones {
+                for spot in [true, false] {
+                    let offer = (kind.name.clone(), zone.clone(), spot);
+                    let waits =
+                        self.renting.backoff.get(&offer).is_some_and(|(until, _)| now < *until);
+                    let under_way = self.renting.under_way.values().any(|r| {
+                        (&r.machine_type, &r.zone, r.spot) == (&offer.0, &offer.1, offer.2)
+                    });
+                    let useful = !spot || spot_want > 0.0;
+                    if waits || under_way || !useful || !self.somebody_fits(kind, zone, spot) {
+                        continue;
+                    }
+                    let price = if spot { kind.spot_price } else { kind.price };
+                    offers.push((price / kind.cpus.max(0.1), spot, kind.clone(), zone.clone()));
+                }
+            }
+        }
+        offers.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
+        for (_, spot, kind, zone) in offers {
+            if missing <= 0.0 {
+                break;
+            }
+            // Offers of the same price share the need, so that zones are mixed.
+            let count = (missing / kind.cpus.max(0.1) / 2.0).ceil().clamp(1.0, 8.0);
+            missing -= count * kind.cpus;
+            self.renting.requests += 1;
+            let request = RentRequest {
+                // Terms are never taken twice, so neither is a name (request names must not be).
+                request: format!("r-{}-{}", self.renting.term, self.renting.requests),
+                machine_type: kind.name.clone(),
+                zone,
+                spot,
+                count: (count as u32).min(MAX_RENT),
+            };
+            tracing::debug!(?request, "renting");
+            self.renting.under_way.insert(request.request.clone(), request.clone());
+            self.actions.push(Action::Rent(request));
+        }
+    }
+
+    fn somebody_fits(&self, kind: &MachineType, zone: &str, spot: bool) -> bool {
+        let fits = |spec: &JobSpec| {
+            (spec.spot || !spot)
+                && spec.types.as_ref().is_none_or(|names| names.contains(&kind.name))
+                && spec.zone.as_ref().is_none_or(|z| z == zone)
+                && spec.cpus <= kind.cpus
+                && spec.gpus <= kind.gpus
+                && spec.memory_gb <= kind.memory_gb
+        };
+        self.jobs.values().any(|j| j.may_start() && j.waiting() > 0 && fits(j.spec()))
+    }
+
+    /// Machines that take several times their boot time may never come up.
+    fn replace_late_boots(&mut self, now: Instant) {
+        for machine in self.machines.values_mut() {
+            let boot_s = machine.size.as_ref().map_or(60.0, |t| t.boot_s);
+            let limit = Duration::from_secs_f64(boot_s * 2.5 + 10.0);
+            if machine.state() == MachineState::Booting
+                && now.saturating_duration_since(machine.rented_at) > limit
+            {
+                tracing::info!(machine = %machine.name, "machine didn't come up; returned");
+                machine.enter(MachineState::Draining);
+            }
+        }
+    }
+
+    fn return_idle(&mut self, want: f64, supply: f64, now: Instant) {
+        let keep = self.config.idle_keep;
+        let mut spare = supply - want;
+        let mut idle: Vec<(f64, String, f64)> = Vec::new();
+        for machine in self.machines.values_mut() {
+            let Some(size) = &machine.size else { continue };
+            if machine.state() != MachineState::Up || !machine.held.is_empty() {
+                machine.idle_since = None;
+                continue;
+            }
+            let since = *machine.idle_since.get_or_insert(now);
+            let price = if machine.spot { size.spot_price } else { size.price };
+            let slow = machine.slowness > SLOW && machine.slowness_samples >= SLOW_SAMPLES;
+            if slow || now.saturating_duration_since(since) >= keep {
+                idle.push((price / size.cpus.max(0.1), machine.name.clone(), size.cpus));
+            }
+        }
+        // The dearest go first.
+        idle.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(std::cmp::Ordering::Equal));
+        for (_, name, cpus) in idle {
+            if spare < cpus {
+                continue;
+            }
+            spare -= cpus;
+            if let Some(machine) = self.machines.get_mut(&name) {
+                tracing::debug!(machine = %name, "returning idle machine");
+                machine.enter(MachineState::Draining);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/corkfield/src/follow.rs
@@ -0,0 +1,263 @@
+//! Following the state service: a copy of everything below `c/`, and how fresh it is.
+
+use crate::node::{now, Node};
+use corkfield_state::{StateError, Use};
+use corkfield_wire::cloud::MachineType;
+use corkfield_wire::records::{
+    FinalRecord, JobRecord, Knock, PlannerRecord, Presence, TypesRecord, CONTROLLERS, FOLLOWED,
+    JOBS, KNOCKS, PLANNER, TYPES,
+};
+use corkfield_wire::store::{Event, Events};
+use corkfield_wire::JobId;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{watch, Notify};
+
+const MAX_FINALS: usize = 20_000;
+const WATCH: Duration = Duration::from_secs(2);
+const OUT_OF_REACH: Duration = Duration::from_secs(3600);
+
+#[derive(Default)]
+pub struct Cache {
+    /// Everything up to this revision is contained.
+    revision: u64,
+    pub jobs: BTreeMap<JobId, (JobRecord, u64)>,
+    pub controllers: BTreeMap<String, (Presence, u64)>,
+    pub knocks: BTreeMap<String, Instant>,
+    pub planner: Option<(PlannerRecord, u64)>,
+    pub types: Option<Vec<MachineType>>,
+    finals: HashMap<JobId, FinalRecord>,
+    finals_order: VecDeque<JobId>,
+}
+
+impl Cache {
+    /// Final states never change, so they may be kept as long as there is room.
+    pub fn note_final(&mut self, id: &JobId, record: FinalRecord) {
+        if self.finals.insert(id.clone(), record).is_none() {
+            self.finals_order.push_back(id.clone());
+            if self.finals_order.len() > MAX_FINALS {
+                if let Some(oldest) = self.finals_order.pop_front() {
+                    self.finals.remove(&oldest);
+                }
+            }
+        }
+    }
+
+    pub fn known_final(&self, id: &JobId) -> Option<FinalRecord> {
+        self.finals.get(id).cloned()
+    }
+
+    fn put(&mut self, key: &str, value: Value, version: u64) {
+        if let Some(id) = key.strip_prefix(JOBS).and_then(JobId::parse) {
+            if let Some(record) = read(key, value) {
+                self.jobs.insert(id, (record, version));
+            }
+        } else if let Some(node) = key.strip_prefix(CONTROLLERS) {
+            if let Some(presence) = read(key, value) {
+                self.controllers.insert(node.to_owned(), (presence, version));
+            }
+        } else if let Some(node) = key.strip_prefix(KNOCKS) {
+            if read::<Knock>(key, value).is_some() {
+                self.knocks.insert(node.to_owned(), now());
+            }
+        } else if key == PLANNER {
+            self.planner = read(key, value).map(|record| (record, version));
+        } else if key == TYPES {
+            self.types = read::<TypesRecord>(key, value).map(|record| record.types);
+        }
+    }
+
+    fn delete(&mut self, key: &str) {
+        if let Some(id) = key.strip_prefix(JOBS).and_then(JobId::parse) {
+            self.jobs.remove(&id);
+        } else if let Some(node) = key.strip_prefix(CONTROLLERS) {
+            self.controllers.remove(node);
+        } else if key == PLANNER {
+            self.planner = None;
+        }
+    }
+
+    /// Applies what is news. Two reads may overlap; what the first brought is skipped, so that
+    /// an older value never replaces a newer one.
+    fn apply(&mut self, events: Events) -> bool {
+        let mut changed = false;
+        for event in events.events {
+            match event {
+                Event::Put { key, value, version } if version > self.revision => {
+                    self.put(&key, value, version);
+                    changed = true;
+                }
+                Event::Delete { key, version } if version > self.revision => {
+                    self.delete(&key);
+                    changed = true;
+                }
+                _ => {}
+            }
+        }
+        self.revision = self.revision.max(events.revision);
+        changed
+    }
+}
+
+fn read<T: DeserializeOwned>(key: &str, value: Value) -> Option<T> {
+    match serde_json::from_value(value) {
+        Ok(read) => Some(read),
+        Err(error) => {
+            tracing::error!(key, %error, "unreadable record");
+            None
+        }
+    }
+}
+
+pub struct Follower {
+    pub cache: RefCell<Cache>,
+    synced: Cell<bool>,
+    /// When the newest successful read was begun.
+    proof: Cell<Option<Instant>>,
+    asked: Cell<u64>,
+    ask: Notify,
+    served: watch::Sender<(u64, bool)>,
+    pub changed: Notify,
+}
+
+impl Default for Follower {
+    fn default() -> Self {
+        Self {
+            cache: RefCell::default(),
+            synced: Cell::new(false),
+            proof: Cell::new(None),
+            asked: Cell::new(0),
+            ask: Notify::new(),
+            served: watch::channel((0, true)).0,
+            changed: Notify::new(),
+        }
+    }
+}
+
+impl Follower {
+    pub fn is_synced(&self) -> bool {
+        self.synced.get()
+    }
+
+    /// How long ago the newest state known was surely current.
+    pub fn proof_age(&self) -> Duration {
+        self.proof.get().map_or(OUT_OF_REACH, |at| now().saturating_duration_since(at))
+    }
+
+    fn prove(&self, begun: Instant) {
+        self.proof.set(self.proof.get().max(Some(begun)));
+    }
+
+    /// Waits until the copy contains everything that was stored before the call (S1). One read
+    /// serves all that wait for it.
+    pub async fn refresh(&self, limit: Duration) -> bool {
+        let ticket = self.asked.get() + 1;
+        self.asked.set(ticket);
+        self.ask.notify_one();
+        let mut served = self.served.subscribe();
+        let wait = served.wait_for(|(done, _)| *done >= ticket);
+        let waited = tokio::time::timeout(limit, wait).await;
+        matches!(waited, Ok(Ok(state)) if state.1)
+    }
+
+    fn apply(&self, events: Events, begun: Instant) {
+        let changed = self.cache.borrow_mut().apply(events);
+        self.prove(begun);
+        if changed {
+            self.changed.notify_waiters();
+        }
+    }
+}
+
+/// Reads everything anew; the copy is replaced as a whole.
+async fn reload(node: &Node) -> Result<(), StateError> {
+    let begun = now();
+    let (items, revision) = node.state.list(Use::Claim, FOLLOWED).await?;
+    let mut cache = Cache { revision, ..Cache::default() };
+    for item in items {
+        cache.put(&item.key, item.value, item.version);
+    }
+    {
+        let mut current = node.follower.cache.borrow_mut();
+        if current.revision > revision {
+            return Ok(());
+        }
+        cache.finals = std::mem::take(&mut current.finals);
+        cache.finals_order = std::mem::take(&mut current.finals_order);
+        *current = cache;
+    }
+    node.follower.prove(begun);
+    node.follower.synced.set(true);
+    node.follower.changed.notify_waiters();
+    Ok(())
+}
+
+/// Keeps a watch open, and starts over when the service has forgotten where we were.
+pub async fn watch(node: Rc<Node>) {
+    let follower = &node.follower;
+    loop {
+        if !follower.is_synced() {
+            if let Err(error) = reload(&node).await {
+                tracing::debug!(%error, "can't read the state service");
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+            continue;
+        }
+        let after = follower.cache.borrow().revision;
+        let begun = now();
+        let pause = match node.state.changes(Use::Claim, FOLLOWED, after, WATCH).await {
+            Ok(events) => {
+                follower.apply(events, begun);
+                if node.leader.is_leading() {
+                    25
+                } else {
+                    150
+                }
+            }
+            Err(StateError::TooOld) => {
+                follower.synced.set(false);
+                0
+            }
+            Err(error) => {
+                tracing::debug!(%error, "watch failed");
+                300
+            }
+        };
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+/// Serves [`Follower::refresh`].
+pub async fn refresher(node: Rc<Node>) {
+    let follower = &node.follower;
+    loop {
+        while follower.asked.get() <= follower.served.borrow().0 {
+            follower.ask.notified().await;
+        }
+        let ticket = follower.asked.get();
+        let after = follower.cache.borrow().revision;
+        let begun = now();
+        let fresh = if follower.is_synced() {
+            match node.state.changes(Use::Reading, FOLLOWED, after, Duration::ZERO).await {
+                Ok(events) => {
+                    follower.apply(events, begun);
+                    true
+                }
+                Err(error) => {
+                    tracing::debug!(%error, "refresh failed");
+                    false
+                }
+            }
+        } else {
+            false
+        };
+        follower.served.send_replace((ticket, fresh));
+        if !fresh {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/corkfield/src/leader.rs
@@ -0,0 +1,822 @@
+//! Becoming the planner, and what it does outside: claims, settling writes, fences, orders,
+//! rentals.
+
+use crate::node::{json, now, wall_ms, Node};
+use crate::presence::Current;
+use corkfield_cloud::CloudError;
+use corkfield_core::{Action, Planner, Settlement, Verdict};
+use corkfield_http::{Client, Response};
+use corkfield_state::{StateError, Use};
+use corkfield_wire::cloud::{MachineType, RentRequest};
+use corkfield_wire::records::{
+    controller_key, final_key, finished_key, finished_prefix, job_key, knock_key, machine_key,
+    FinalRecord, JobRecord, Knock, MachineRecord, PlannerRecord, TypesRecord, MACHINES, PLANNER,
+    TYPES,
+};
+use corkfield_wire::store::Txn;
+use corkfield_wire::worker::{DirectOrders, Order, Report, PATH_COMMANDS};
+use corkfield_wire::{JobId, JobStatus, TaskSet};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+const DIRECT_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Other controllers leave the named successor this long to take over.
+const SUCCESSOR_HEAD_START: Duration = Duration::from_secs(2);
+
+type Shared = Rc<RefCell<Planner>>;
+
+#[derive(Default)]
+pub struct Leader {
+    leading: Cell<bool>,
+    planner: RefCell<Option<Shared>>,
+    ready: Notify,
+    actions: Notify,
+    settle: Notify,
+    parked: RefCell<HashMap<String, Rc<Notify>>>,
+    outbid: Cell<u64>,
+    last_report: Cell<Option<Instant>>,
+    knocks: RefCell<HashMap<String, Instant>>,
+    knocking: Cell<bool>,
+}
+
+impl Leader {
+    pub fn is_leading(&self) -> bool {
+        self.leading.get()
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.planner.borrow().is_some()
+    }
+
+    pub async fn until_ready(&self) {
+        self.ready.notified().await;
+    }
+
+    pub fn planner(&self) -> Option<Shared> {
+        self.planner.borrow().clone()
+    }
+
+    pub fn wake_actions(&self) {
+        self.last_report.set(Some(now()));
+        self.actions.notify_one();
+        self.settle.notify_one();
+    }
+
+    /// A worker has seen a term above ours: the next one has to lie above it.
+    pub fn outbid(&self, term: u64) {
+        self.outbid.set(self.outbid.get().max(term));
+    }
+
+    /// Notified when the machine's held-back answer should go.
+    pub fn work_for(&self, machine: &str) -> Rc<Notify> {
+        let work = Rc::new(Notify::new());
+        self.parked.borrow_mut().insert(machine.to_owned(), work.clone());
+        work
+    }
+
+    pub fn release(&self, machine: &str, work: &Rc<Notify>) {
+        let mut parked = self.parked.borrow_mut();
+        if parked.get(machine).is_some_and(|current| Rc::ptr_eq(current, work)) {
+            parked.remove(machine);
+        }
+    }
+
+    /// A worker came here although it had been sent to the planner before: it may be that the
+    /// planner can't be reached.
+    pub fn knocked(&self, machine: &str) {
+        let mut knocks = self.knocks.borrow_mut();
+        let at = now();
+        knocks.retain(|_, before| at.saturating_duration_since(*before) < Duration::from_secs(10));
+        if knocks.insert(machine.to_owned(), at).is_some() || knocks.len() > 3 {
+            self.knocking.set(true);
+        }
+    }
+
+    fn begin(&self, planner: Shared) {
+        *self.planner.borrow_mut() = Some(planner);
+        self.last_report.set(Some(now()));
+        self.ready.notify_waiters();
+    }
+
+    fn end(&self) {
+        self.leading.set(false);
+        *self.planner.borrow_mut() = None;
+        self.ready.notify_waiters();
+        for work in self.parked.borrow_mut().drain() {
+            work.1.notify_one();
+        }
+    }
+}
+
+/// Why a planner stops planning.
+#[derive(Debug, Clone, Copy)]
+enum End {
+    LeaseLost,
+    Replaced,
+    HandedOver,
+}
+
+/// Stands by, and plans whenever the record can be claimed.
+pub async fn lead(node: Rc<Node>) {
+    loop {
+        if let Some((me, version, term)) = take_over(&node).await {
+            tracing::info!(term, "planning");
+            node.leader.leading.set(true);
+            node.state.set_share(0.6);
+            let end = plan(&node, &me, version, term).await;
+            node.leader.end();
+            node.state.set_share(0.2);
+            tracing::info!(term, ?end, "no longer planning");
+        }
+        let changed = node.follower.changed.notified();
+        let _ = tokio::time::timeout(Duration::from_millis(300), changed).await;
+        knock(&node).await;
+    }
+}
+
+/// Tells the planner, through the store, that workers come here instead.
+async fn knock(node: &Node) {
+    if node.leader.knocking.take() {
+        let count = node.leader.knocks.borrow().len() as u64;
+        let value = serde_json::to_value(Knock { count }).unwrap_or_default();
+        let txn = Txn::default().put(knock_key(&node.name), value);
+        let _ = node.state.txn(Use::Housekeeping, &txn).await;
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+}
+
+/// Claims the planner record if its holder is gone.
+async fn take_over(node: &Node) -> Option<(Current, u64, u64)> {
+    let me = node.presence.current().filter(|_| node.presence.is_valid())?;
+    let (old, version, holder) = {
+        let cache = node.follower.cache.borrow();
+        if !node.follower.is_synced()
+            || cache.types.is_none() && node.follower.proof_age() > Duration::from_secs(4)
+        {
+            return None;
+        }
+        match &cache.planner {
+            None => (None, 0, None),
+            Some((record, version)) => {
+                let holder = record.node.as_ref().map(|name| {
+                    let presence = cache.controllers.get(name);
+                    let key = controller_key(name);
+                    match presence {
+                        Some((p, _)) if p.incarnation == record.incarnation => (key, None),
+                        Some((_, version)) => (key, Some(*version)),
+                        None => (key, Some(0)),
+                    }
+                });
+                (Some(record.clone()), *version, holder)
+            }
+        }
+    };
+    let mut txn =
+        Txn::default().when(PLANNER, version).when(controller_key(&node.name), me.version);
+    match holder {
+        // Its holder is there.
+        Some((_, None)) => return None,
+        Some((key, Some(version))) if key != controller_key(&node.name) => {
+            txn = txn.when(key, version);
+        }
+        _ => {}
+    }
+    let successor = old.as_ref().and_then(|record| record.successor.clone());
+    if successor.is_some_and(|name| name != node.name) {
+        tokio::time::sleep(SUCCESSOR_HEAD_START).await;
+    } else {
+        // Not all at once.
+        tokio::time::sleep(Duration::from_millis(rand::random_range(0..60))).await;
+    }
+    let term = old.map_or(0, |record| record.term).max(node.leader.outbid.get()) + 1;
+    let record = PlannerRecord {
+        node: Some(node.name.clone()),
+        incarnation: me.incarnation.clone(),
+        term,
+        successor: None,
+    };
+    let value = serde_json::to_value(&record).unwrap_or_default();
+    match node.state.txn(Use::Claim, &txn.put(PLANNER, value)).await {
+        Ok(version) => Some((me, version, term)),
+        Err(error) => {
+            tracing::debug!(%error, "planner record not taken");
+            None
+        }
+    }
+}
+
+struct Planning<'a> {
+    node: &'a Rc<Node>,
+    planner: Shared,
+    me: Current,
+    /// Version of the planner record that this claim rests on.
+    version: Cell<u64>,
+    machine_versions: RefCell<HashMap<String, u64>>,
+}
+
+async fn plan(node: &Rc<Node>, me: &Current, version: u64, term: u64) -> End {
+    let seed = rand::random();
+    let planner = Planner::new(node.settings.planner_config(), term, seed);
+    let planning = Planning {
+        node,
+        planner: Rc::new(RefCell::new(planner)),
+        me: me.clone(),
+        version: Cell::new(version),
+        machine_versions: RefCell::default(),
+    };
+    let types = node.follower.cache.borrow().types.clone();
+    if let Some(types) = types {
+        planning.planner.borrow_mut().set_types(types);
+    }
+    tokio::select! {
+        end = planning.until_lost() => end,
+        () = planning.work() => End::Replaced,
+    }
+}
+
+impl Planning<'_> {
+    async fn work(&self) {
+        // Every machine that may hold tasks has a record, written before its first task.
+        loop {
+            match self.node.state.list(Use::Claim, MACHINES).await {
+                Ok((items, _)) => {
+                    for item in items {
+                        let Some(name) = item.key.strip_prefix(MACHINES) else {
+                            continue;
+                        };
+                        match serde_json::from_value::<MachineRecord>(item.value) {
+                            Ok(record) => {
+                                let mut planner = self.planner.borrow_mut();
+                                planner.recorded_machine(name, &record, now());
+                                let mut versions = self.machine_versions.borrow_mut();
+                                versions.insert(name.to_owned(), item.version);
+                            }
+                            Err(error) => {
+                                tracing::error!(name, %error, "unreadable machine record")
+                            }
+                        }
+                    }
+                    break;
+                }
+                Err(error) => {
+                    tracing::debug!(%error, "can't read the machines");
+                    tokio::time::sleep(Duration::from_millis(200)).await;
+                }
+            }
+        }
+        // Jobs first: reports of their tasks are of no use without them.
+        self.claim_round().await;
+        self.node.leader.begin(self.planner.clone());
+        tokio::join!(
+            self.claims(),
+            self.settling(),
+            self.acting(),
+            self.ticking(),
+            self.listing(),
+            self.fencing(),
+            self.typing(),
+            self.outbidding(),
+        );
+    }
+
+    async fn until_lost(&self) -> End {
+        loop {
+            let changed = self.node.follower.changed.notified();
+            let lease = self.node.presence.changed.notified();
+            let kept = self.node.presence.current();
+            if kept.is_none_or(|current| current.incarnation != self.me.incarnation) {
+                return End::LeaseLost;
+            }
+            let replaced = {
+                let cache = self.node.follower.cache.borrow();
+                cache.planner.as_ref().is_some_and(|(record, version)| {
+                    record.incarnation != self.me.incarnation && *version > self.version.get()
+                })
+            };
+            if replaced {
+                return End::Replaced;
+            }
+            if self.hand_over().await {
+                return End::HandedOver;
+            }
+            tokio::select! {
+                () = changed => {}
+                () = lease => {}
+                () = tokio::time::sleep(Duration::from_millis(500)) => {}
+            }
+        }
+    }
+
+    /// A planner that hears no workers, while they knock at another controller's door, leaves
+    /// its place to that one.
+    async fn hand_over(&self) -> bool {
+        let quiet = self
+            .node
+            .leader
+            .last_report
+            .get()
+            .map_or(Duration::ZERO, |at| now().saturating_duration_since(at));
+        if quiet < Duration::from_secs(5) || !self.node.leader.is_ready() {
+            return false;
+        }
+        let successor = {
+            let cache = self.node.follower.cache.borrow();
+            let recent = cache.knocks.iter().find(|(name, at)| {
+                **name != self.node.name
+                    && now().saturating_duration_since(**at) < Duration::from_secs(3)
+            });
+            recent.map(|(name, _)| name.clone())
+        };
+        let Some(successor) = successor else {
+            return false;
+        };
+        let record = PlannerRecord {
+            node: None,
+            incarnation: String::new(),
+            term: self.planner.borrow().term(),
+            successor: Some(successor.clone()),
+        };
+        let value = serde_json::to_value(&record).unwrap_or_default();
+        let txn = Txn::default().when(PLANNER, self.version.get()).put(PLANNER, value);
+        tracing::info!(%successor, "no worker reports here; handing over");
+        self.node.state.txn(Use::Lease, &txn).await.is_ok()
+    }
+
+    async fn claims(&self) {
+        loop {
+            let changed = self.node.follower.changed.notified();
+            let claimed = self.claim_round().await;
+            if !claimed {
+                let _ = tokio::time::timeout(Duration::from_millis(250), changed).await;
+            }
+        }
+    }
+
+    /// Closes what is over, and claims what is new or lapsed; true if more may be left.
+    async fn claim_round(&self) -> bool {
+        let mut due: Vec<(JobRecord, u64)> = Vec::new();
+        {
+            let cache = self.node.follower.cache.borrow();
+            let mut planner = self.planner.borrow_mut();
+            for id in planner.live_jobs() {
+                if !cache.jobs.contains_key(&id) {
+                    planner.close_job(&id);
+                }
+            }
+            let lapsed: HashSet<JobId> = planner.lapsed_jobs().into_iter().collect();
+            let wall = wall_ms();
+            for (id, (record, version)) in &cache.jobs {
+                let known = planner.job(id);
+                let ours = record.owner.as_deref() == Some(self.me.incarnation.as_str());
+                let new = known.is_none_or(|job| *version > job.version && !ours);
+                if (new || lapsed.contains(id)) && record.not_before_ms <= wall {
+                    due.push((record.clone(), *version));
+                }
+            }
+        }
+        due.sort_by_key(|(record, _)| (record.spec.priority, record.accepted_ms));
+        let most = self.node.settings.platform.params.state.txn_ops.max(1) as usize;
+        let batch = (self.node.settings.operator.claim_batch as usize).min(most);
+        let more = due.len() > batch;
+        due.truncate(batch);
+        if due.is_empty() {
+            return false;
+        }
+        self.claim(due).await && more
+    }
+
+    /// The design's claim: one conditional transaction that sets the owner, raises the
+    /// generation and adds one to the count.
+    async fn claim(&self, batch: Vec<(JobRecord, u64)>) -> bool {
+        let mut txn = Txn::default()
+            .when(PLANNER, self.version.get())
+            .when(controller_key(&self.node.name), self.me.version);
+        let mut claimed = Vec::new();
+        for (mut record, version) in batch {
+            record.owner = Some(self.me.incarnation.clone());
+            record.generation += 1;
+            record.claims += 1;
+            if record.claims > self.node.settings.operator.claim_limit {
+                tracing::warn!(job = %record.spec.id, claims = record.claims, "claim limit reached; set aside");
+                record.set_aside = true;
+            }
+            let key = job_key(&record.spec.id);
+            let value = serde_json::to_value(&record).unwrap_or_default();
+            txn = txn.when(key.clone(), version).put(key, value);
+            claimed.push(record);
+        }
+        let version = match self.node.state.txn(Use::Claim, &txn).await {
+            Ok(version) => version,
+            Err(StateError::NoAnswer(_)) => match self.claim_landed(&claimed[0]).await {
+                Some(version) => version,
+                None => return false,
+            },
+            Err(error) => {
+                tracing::debug!(%error, "claim failed");
+                tokio::time::sleep(Duration::from_millis(rand::random_range(50..150))).await;
+                return false;
+            }
+        };
+        for record in claimed {
+            let finished = match record.is_chunked() {
+                true => self.finished_chunks(&record.spec.id).await,
+                false => record.finished.clone(),
+            };
+            let age = Duration::from_millis(wall_ms().saturating_sub(record.accepted_ms));
+            let mut planner = self.planner.borrow_mut();
+            planner.claimed(record, finished, version, age, now());
+            planner.plan(now());
+        }
+        self.node.leader.actions.notify_one();
+        true
+    }
+
+    /// Whether a claim without an answer was carried out (all of it, as it is one transaction).
+    async fn claim_landed(&self, record: &JobRecord) -> Option<u64> {
+        let item = self.node.state.get(Use::Claim, &job_key(&record.spec.id)).await.ok()??;
+        let found: JobRecord = serde_json::from_value(item.value).ok()?;
+        (found.owner == record.owner && found.generation == record.generation)
+            .then_some(item.version)
+    }
+
+    async fn finished_chunks(&self, id: &JobId) -> TaskSet {
+        loop {
+            match self.node.state.list(Use::Claim, &finished_prefix(id)).await {
+                Ok((items, _)) => {
+                    let mut all = TaskSet::default();
+                    for item in items {
+                        if let Ok(set) = serde_json::from_value::<TaskSet>(item.value) {
+                            all.extend(&set);
+                        }
+                    }
+                    return all;
+                }
+                Err(_) => tokio::time::sleep(Duration::from_millis(200)).await,
+            }
+        }
+    }
+
+    async fn settling(&self) {
+        loop {
+            let due = self.planner.borrow_mut().settlements(4, now());
+            if due.is_empty() {
+                let woken = self.node.leader.settle.notified();
+                let _ = tokio::time::timeout(Duration::from_millis(200), woken).await;
+                // What comes in together is stored together.
+                tokio::time::sleep(Duration::from_millis(60)).await;
+                continue;
+            }
+            for settlement in due {
+                self.settle(settlement).await;
+            }
+        }
+    }
+
+    /// Stores finished tasks while the record is still of our claim (S9).
+    async fn settle(&self, settlement: Settlement) {
+        let id = settlement.job.clone();
+        let mut txn = Txn::default().when(job_key(&id), settlement.version);
+        if settlement.finishes {
+            let over = FinalRecord { status: JobStatus::Done, done: settlement.record.done };
+            let value = serde_json::to_value(&over).unwrap_or_default();
+            txn = txn.delete(job_key(&id)).put(final_key(&id), value);
+        } else {
+            let value = serde_json::to_value(&settlement.record).unwrap_or_default();
+            txn = txn.put(job_key(&id), value);
+            for (chunk, set) in &settlement.chunks {
+                let value = serde_json::to_value(set).unwrap_or_default();
+                txn = txn.put(finished_key(&id, *chunk), value);
+            }
+        }
+        match self.node.state.txn(Use::Settling, &txn).await {
+            Ok(version) => {
+                self.planner.borrow_mut().settled(&settlement, version);
+                if settlement.finishes && settlement.record.is_chunked() {
+                    self.drop_chunks(&settlement.record).await;
+                }
+            }
+            Err(error @ (StateError::Conflict(_) | StateError::NoAnswer(_))) => {
+                tracing::debug!(job = %id, %error, "settling write not taken");
+                let found = self.find_own(&id, &settlement.record).await;
+                self.planner.borrow_mut().settling_failed(&id, found);
+            }
+            Err(error) => {
+                tracing::debug!(job = %id, %error, "settling write failed");
+                self.planner.borrow_mut().settling_failed(&id, None);
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+        }
+    }
+
+    /// The record as the store has it, if it is still of our claim.
+    async fn find_own(&self, id: &JobId, ours: &JobRecord) -> Option<(JobRecord, TaskSet, u64)> {
+        let Ok(read) = self.node.state.get(Use::Settling, &job_key(id)).await else {
+            return None;
+        };
+        let Some(item) = read else {
+            // Cancelled, or a final write of ours that was carried out after all.
+            self.planner.borrow_mut().close_job(id);
+            return None;
+        };
+        let found: JobRecord = serde_json::from_value(item.value).ok()?;
+        if found.generation != ours.generation {
+            tracing::warn!(job = %id, "a settling write met a newer generation; job dropped");
+            self.planner.borrow_mut().close_job(id);
+            return None;
+        }
+        let finished = match found.is_chunked() {
+            true => self.finished_chunks(id).await,
+            false => found.finished.clone(),
+        };
+        Some((found, finished, item.version))
+    }
+
+    async fn drop_chunks(&self, record: &JobRecord) {
+        let chunks = record.spec.tasks.div_ceil(corkfield_wire::records::CHUNK_TASKS);
+        let keys: Vec<String> =
+            (0..chunks).map(|chunk| finished_key(&record.spec.id, chunk)).collect();
+        for part in keys.chunks(4) {
+            let txn = part.iter().fold(Txn::default(), |txn, key| txn.delete(key.clone()));
+            let _ = self.node.state.txn(Use::Housekeeping, &txn).await;
+        }
+    }
+
+    async fn acting(&self) {
+        loop {
+            let actions = self.planner.borrow_mut().take_actions();
+            if actions.is_empty() {
+                self.node.leader.actions.notified().await;
+                continue;
+            }
+            for action in actions {
+                self.act(action);
+            }
+        }
+    }
+
+    fn act(&self, action: Action) {
+        let node = self.node.clone();
+        let planner = self.planner.clone();
+        match action {
+            Action::Answer(machine) => {
+                if let Some(work) = node.leader.parked.borrow_mut().remove(&machine) {
+                    work.notify_one();
+                }
+            }
+            Action::Direct { machine, addr, session, orders } => {
+                tokio::task::spawn_local(async move {
+                    direct(&node, &planner, &machine, &addr, session, orders).await;
+                });
+            }
+            Action::Record(name, record) => {
+                // Conditional on the planner record: a planner that was replaced can't add
+                // machines that its successor doesn't know.
+                let version = self.version.get();
+                tokio::task::spawn_local(async move {
+                    let value = serde_json::to_value(&record).unwrap_or_default();
+                    let txn = Txn::default().when(PLANNER, version).put(machine_key(&name), value);
+                    let stored = node.state.txn(Use::Claim, &txn).await;
+                    planner.borrow_mut().machine_recorded(&name, stored.is_ok());
+                    planner.borrow_mut().plan(now());
+                    node.leader.actions.notify_one();
+                });
+            }
+            Action::Erase(name) => {
+                let version = self.version.get();
+                tokio::task::spawn_local(async move {
+                    let txn = Txn::default().when(PLANNER, version).delete(machine_key(&name));
+                    let _ = node.state.txn(Use::Housekeeping, &txn).await;
+                });
+            }
+            Action::Rent(request) => {
+                tokio::task::spawn_local(async move {
+                    rent(&node, &planner, &request).await;
+                });
+            }
+            Action::Delete(names) => {
+                tokio::task::spawn_local(async move {
+                    match node.cloud.delete(names.clone()).await {
+                        Ok(()) => {
+                            planner.borrow_mut().deleted(&names, now());
+                            node.leader.actions.notify_one();
+                        }
+                        Err(error) => tracing::debug!(%error, "deletion failed"),
+                    }
+                });
+            }
+        }
+    }
+
+    async fn ticking(&self) {
+        let mut adjusted = now();
+        loop {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            let at = now();
+            let mut planner = self.planner.borrow_mut();
+            planner.tick(at);
+            planner.plan(at);
+            if at.saturating_duration_since(adjusted) >= Duration::from_secs(1) {
+                adjusted = at;
+                planner.adjust_machines(at);
+            }
+            drop(planner);
+            self.node.leader.actions.notify_one();
+        }
+    }
+
+    async fn listing(&self) {
+        let rps = self.node.settings.platform.params.cloud.rps;
+        let interval = Duration::from_secs_f64((3.0 / rps.max(0.1)).clamp(1.0, 10.0));
+        loop {
+            let asked = now();
+            match self.node.cloud.machines().await {
+                Ok(list) => {
+                    self.planner.borrow_mut().on_list(&list, asked, now());
+                    self.node.leader.actions.notify_one();
+                }
+                Err(error) => tracing::debug!(%error, "can't list machines"),
+            }
+            tokio::time::sleep(interval).await;
+        }
+    }
+
+    /// Sends every recorded machine an empty order under our term (S7), until it has answered,
+    /// lapsed or is gone.
+    async fn fencing(&self) {
+        loop {
+            let targets = self.planner.borrow().fence_targets();
+            if targets.is_empty() {
+                tokio::time::sleep(Duration::from_millis(500)).await;
+                continue;
+            }
+            for (machine, addr, session) in targets {
+                let (node, planner) = (self.node.clone(), self.planner.clone());
+                tokio::task::spawn_local(async move {
+                    direct(&node, &planner, &machine, &addr, session, Vec::new()).await;
+                });
+            }
+            tokio::time::sleep(Duration::from_millis(1500)).await;
+        }
+    }
+
+    /// Machine types come from the cloud, and are kept in the store for when it is away.
+    async fn typing(&self) {
+        loop {
+            match self.node.cloud.types().await {
+                Ok(types) => {
+                    let known = self.node.follower.cache.borrow().types.clone();
+                    self.planner.borrow_mut().set_types(types.clone());
+                    if known.is_none_or(|known| !same_types(&known, &types)) {
+                        let value = serde_json::to_value(TypesRecord { types }).unwrap_or_default();
+                        let txn =
+                            Txn::default().when(PLANNER, self.version.get()).put(TYPES, value);
+                        if let Err(error) = self.node.state.txn(Use::Claim, &txn).await {
+                            tracing::debug!(%error, "can't keep the machine types");
+                        }
+                    }
+                    tokio::time::sleep(Duration::from_secs(20)).await;
+                }
+                Err(error) => {
+                    tracing::debug!(%error, "can't read the machine types");
+                    tokio::time::sleep(Duration::from_secs(1)).await;
+                }
+            }
+        }
+    }
+
+    /// Takes a term above one that a worker has seen.
+    async fn outbidding(&self) {
+        loop {
+            let seen = self.node.leader.outbid.get();
+            let term = self.planner.borrow().term();
+            if seen <= term {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                continue;
+            }
+            let record = PlannerRecord {
+                node: Some(self.node.name.clone()),
+                incarnation: self.me.incarnation.clone(),
+                term: seen + 1,
+                successor: None,
+            };
+            let value = serde_json::to_value(&record).unwrap_or_default();
+            let txn = Txn::default().when(PLANNER, self.version.get()).put(PLANNER, value);
+            match self.node.state.txn(Use::Claim, &txn).await {
+                Ok(version) => {
+                    self.version.set(version);
+                    self.planner.borrow_mut().raise_term(seen + 1);
+                }
+                Err(error) => {
+                    tracing::debug!(%error, "can't take a higher term");
+                    tokio::time::sleep(Duration::from_millis(200)).await;
+                }
+            }
+        }
+    }
+}
+
+/// Prices of spot machines move all the time; that alone is not worth a write.
+fn same_types(a: &[MachineType], b: &[MachineType]) -> bool {
+    let plain = |t: &MachineType| MachineType { spot_price: 0.0, ..t.clone() };
+    a.len() == b.len() && a.iter().zip(b).all(|(a, b)| plain(a) == plain(b))
+}
+
+async fn direct(
+    node: &Node,
+    planner: &Shared,
+    machine: &str,
+    addr: &str,
+    session: u64,
+    orders: Vec<Order>,
+) {
+    let Ok(addr) = addr.parse() else { return };
+    let mut session = session;
+    // A machine may be in a later session than we know: its refusal says which.
+    for _ in 0..2 {
+        let term = planner.borrow().term();
+        let body = serde_json::to_vec(&DirectOrders { term, session, orders: orders.clone() });
+        let client = Client::new(addr, 1, 256 * 1024);
+        let body = body.unwrap_or_default();
+        let reply = match client.request("POST", PATH_COMMANDS, &body, DIRECT_TIMEOUT).await {
+            Ok(reply) => reply,
+            Err(error) => {
+                tracing::debug!(machine, %error, "direct orders not answered");
+                return;
+            }
+        };
+        let Ok(report) = serde_json::from_slice::<Report>(&reply.body) else {
+            return;
+        };
+        let verdict = planner.borrow_mut().on_report(&report, false, now());
+        if let Verdict::HigherTerm(term) = verdict {
+            node.leader.outbid(term);
+            return;
+        }
+        if reply.status != 409 || report.session == session {
+            break;
+        }
+        session = report.session;
+    }
+    planner.borrow_mut().plan(now());
+    node.leader.actions.notify_one();
+    node.leader.settle.notify_one();
+}
+
+async fn rent(node: &Node, planner: &Shared, request: &RentRequest) {
+    let mut outcome = Err(false);
+    for _ in 0..4 {
+        match node.cloud.rent(request).await {
+            Ok(names) => {
+                outcome = Ok(names);
+                break;
+            }
+            Err(CloudError::NoCapacity) => {
+                outcome = Err(true);
+                break;
+            }
+            Err(CloudError::NoAnswer(error)) => {
+                // The same name again gets the same machines, if it was carried out.
+                tracing::debug!(%error, request = %request.request, "rental not answered");
+                tokio::time::sleep(Duration::from_millis(500)).await;
+            }
+            Err(error) => {
+                tracing::debug!(%error, "rental refused");
+                break;
+            }
+        }
+    }
+    planner.borrow_mut().rented(request, outcome, now());
+}
+
+/// What operators see: the queue, the claims, what was set aside.
+pub fn overview(node: &Node) -> Response {
+    let cache = node.follower.cache.borrow();
+    let planner = cache.planner.as_ref().and_then(|(record, _)| record.node.clone());
+    let mut body = serde_json::json!({
+        "node": node.name,
+        "planner": planner,
+        "unfinished_jobs": cache.jobs.len(),
+        "set_aside": cache.jobs.iter().filter(|(_, (r, _))| r.set_aside).map(|(id, _)| id.as_str()).collect::<Vec<_>>(),
+        "state_age_s": node.follower.proof_age().as_secs_f64(),
+    });
+    if let Some(planner) = node.leader.planner() {
+        let view = planner.borrow().overview(now());
+        let oldest = view.oldest_waiting.as_ref();
+        body["planning"] = serde_json::json!({
+            "term": planner.borrow().term(),
+            "jobs": view.jobs,
+            "waiting_tasks": view.waiting_tasks,
+            "running_tasks": view.running_tasks,
+            "oldest_waiting": oldest.map(|(id, _)| id.as_str()),
+            "oldest_waiting_s": oldest.map(|(_, age)| age.as_secs_f64()),
+            "most_claims": view.most_claims,
+            "machines_up": view.machines_up,
+            "machines_booting": view.machines_booting,
+            "machines_unfenced": view.unfenced,
+        });
+    }
+    json(200, &body)
+}
--- /dev/null
+++ b/crates/corkfield/src/main.rs
@@ -0,0 +1,84 @@
+//! corkfield: a cluster scheduler.
+#![forbid(unsafe_code)]
+
+mod follow;
+mod leader;
+mod node;
+mod peers;
+mod presence;
+mod settings;
+mod users;
+mod workers;
+
+use clap::{Parser, Subcommand};
+use settings::Settings;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A cluster scheduler: controllers that claim jobs from a state service under a lease, rent
+/// machines and run the jobs' tasks on them.
+#[derive(Debug, Parser)]
+#[command(name = "corkfield", version, about)]
+struct Cli {
+    /// The platform's settings file (TOML)
+    #[arg(long, value_name = "FILE", global = true)]
+    config: Option<PathBuf>,
+    /// The operators' own settings (JSON; see `corkfield schema`)
+    #[arg(long, value_name = "FILE", env = "CORKFIELD_OPERATOR", global = true)]
+    operator: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a controller (the default)
+    Run,
+    /// Check the settings and say what they come to; needs no running service
+    Check,
+    /// Print the JSON schema of the operators' own settings
+    Schema,
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if matches!(cli.command, Some(Command::Schema)) {
+        println!("{}", settings::schema());
+        return ExitCode::SUCCESS;
+    }
+    let Some(config) = cli.config else {
+        eprintln!("corkfield: --config FILE is needed");
+        return ExitCode::from(2);
+    };
+    let settings = match Settings::load(&config, cli.operator.as_deref()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("corkfield: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    if matches!(cli.command, Some(Command::Check)) {
+        println!("{}", settings.summary());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(reason) = settings::start_logging() {
+        eprintln!("corkfield: {reason}");
+        return ExitCode::from(2);
+    }
+    // One thread: the machines give a process only a small share of one core.
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("corkfield: can't start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    match local.block_on(&runtime, node::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("corkfield: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/corkfield/src/node.rs
@@ -0,0 +1,164 @@
+//! One controller: what its parts share, and how they are started.
+
+use crate::follow::Follower;
+use crate::leader::Leader;
+use crate::peers::Peers;
+use crate::presence::Presence;
+use crate::settings::Settings;
+use crate::{follow, leader, peers, presence, users, workers};
+use corkfield_cloud::CloudClient;
+use corkfield_http::{serve, Limits, Request, Response};
+use corkfield_state::StateClient;
+use corkfield_wire::user::{ErrorView, JobId, PATH_CANCEL, PATH_JOBS, PATH_READY};
+use corkfield_wire::worker::PATH_REPORT;
+use serde::Serialize;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+
+pub struct Node {
+    pub settings: Settings,
+    pub name: String,
+    pub state: StateClient,
+    pub cloud: CloudClient,
+    pub follower: Follower,
+    pub presence: Presence,
+    pub leader: Leader,
+    pub peers: Peers,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    #[error("can't listen on {addr}: {error}")]
+    Listen { addr: std::net::SocketAddr, error: std::io::Error },
+}
+
+/// The steady clock, as the scheduler sees it.
+pub fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
+/// The time of day in milliseconds since 1970.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn listen(addr: std::net::SocketAddr) -> Result<TcpListener, RunError> {
+    // A restarted process may find its address still taken for a moment.
+    let mut tries = 0;
+    loop {
+        match TcpListener::bind(addr).await {
+            Ok(listener) => return Ok(listener),
+            Err(error) if tries >= 20 => return Err(RunError::Listen { addr, error }),
+            Err(_) => {
+                tries += 1;
+                tokio::time::sleep(Duration::from_millis(250)).await;
+            }
+        }
+    }
+}
+
+pub async fn run(settings: Settings) -> Result<(), RunError> {
+    let platform = settings.platform.clone();
+    let params = &platform.params;
+    let sockets =
+        if params.limits.max_connections == 0 { 900 } else { params.limits.max_connections };
+    let users_listener = listen(platform.listen).await?;
+    let peers_listener = listen(platform.peer_listen).await?;
+    let node = Rc::new(Node {
+        name: platform.node.clone(),
+        state: StateClient::new(platform.endpoints.state, params.state.rps, params.state.write_rps),
+        cloud: CloudClient::new(platform.endpoints.cloud, params.cloud.rps),
+        follower: Follower::default(),
+        presence: Presence::default(),
+        leader: Leader::default(),
+        peers: Peers::default(),
+        settings,
+    });
+    tracing::info!(node = %node.name, listen = %platform.listen, "controller started");
+    let handler = {
+        let node = node.clone();
+        move |request| handle(node.clone(), request)
+    };
+    // Sockets are also needed for the state service, the cloud, machines and peers.
+    let limits = Limits { connections: (sockets as usize * 7 / 10).max(16), ..Limits::default() };
+    tokio::task::spawn_local(serve(users_listener, limits, Rc::new(handler)));
+    tokio::task::spawn_local(peers::listen(node.clone(), peers_listener));
+    for peer in &platform.peers {
+        tokio::task::spawn_local(peers::talk(node.clone(), peer.addr));
+    }
+    tokio::task::spawn_local(follow::watch(node.clone()));
+    tokio::task::spawn_local(follow::refresher(node.clone()));
+    tokio::task::spawn_local(presence::keep(node.clone()));
+    leader::lead(node).await;
+    Ok(())
+}
+
+async fn handle(node: Rc<Node>, request: Request) -> Response {
+    let path = request.path().to_owned();
+    let method = request.method.as_str();
+    if path == PATH_REPORT {
+        return match method {
+            "POST" => workers::report(&node, &request.body).await,
+            _ => error(405, "method not allowed"),
+        };
+    }
+    if path == PATH_READY {
+        return ready(&node);
+    }
+    if path == "/operator/overview" && method == "GET" {
+        return leader::overview(&node);
+    }
+    if let Some(id) = path.strip_prefix("/operator/release/").and_then(JobId::parse) {
+        return match method {
+            "POST" => users::release(&node, &id).await,
+            _ => error(405, "method not allowed"),
+        };
+    }
+    if path == PATH_JOBS {
+        return match method {
+            "POST" => users::submit(&node, &request.body).await,
+            _ => error(405, "method not allowed"),
+        };
+    }
+    let Some(rest) = path.strip_prefix(PATH_JOBS).and_then(|p| p.strip_prefix('/')) else {
+        return error(404, "no such path");
+    };
+    match (method, rest.split_once('/')) {
+        ("GET", None) => match JobId::parse(rest) {
+            Some(id) => users::query(&node, &id).await,
+            None => error(404, "no such job"),
+        },
+        ("POST", Some((id, PATH_CANCEL))) => match JobId::parse(id) {
+            Some(id) => users::cancel(&node, &id).await,
+            None => error(404, "no such job"),
+        },
+        (_, None | Some((_, PATH_CANCEL))) => error(405, "method not allowed"),
+        _ => error(404, "no such path"),
+    }
+}
+
+/// A controller that alone gets no answers from the state service sends users elsewhere. When
+/// none of them does, they all stay: there is nowhere better to go.
+fn ready(node: &Node) -> Response {
+    let synced = node.follower.is_synced();
+    let stale = node.follower.proof_age() > Duration::from_secs(4);
+    if !synced || (stale && node.peers.somebody_has_store()) {
+        return error(503, "not ready");
+    }
+    json(200, &serde_json::json!({"ready": true}))
+}
+
+pub fn json(status: u16, body: &impl Serialize) -> Response {
+    Response::new(status, serde_json::to_vec(body).unwrap_or_default())
+}
+
+pub fn error(status: u16, reason: &str) -> Response {
+    json(status, &ErrorView { error: reason.to_owned() })
+}
+
+/// Asks the client to come back.
+pub fn later(reason: &str) -> Response {
+    Response { retry_after: Some(1), ..error(503, reason) }
+}
--- /dev/null
+++ b/crates/corkfield/src/presence.rs
@@ -0,0 +1,124 @@
+//! This controller's lease and its presence key.
+
+use crate::node::{now, Node};
+use corkfield_state::{StateError, Use};
+use corkfield_wire::records::{controller_key, Presence as Record};
+use corkfield_wire::store::Txn;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+#[derive(Default)]
+pub struct Presence {
+    current: RefCell<Option<Current>>,
+    valid_until: Cell<Option<Instant>>,
+    pub changed: Notify,
+}
+
+#[derive(Debug, Clone)]
+pub struct Current {
+    pub incarnation: String,
+    pub lease: u64,
+    /// Version of the presence key.
+    pub version: u64,
+}
+
+impl Presence {
+    pub fn current(&self) -> Option<Current> {
+        self.current.borrow().clone()
+    }
+
+    /// Whether the lease surely hasn't ended, by our own clock (S4).
+    pub fn is_valid(&self) -> bool {
+        self.valid_until.get().is_some_and(|until| now() < until)
+    }
+
+    fn set(&self, current: Option<Current>) {
+        *self.current.borrow_mut() = current;
+        self.changed.notify_waiters();
+    }
+}
+
+/// Takes a lease and renews it for ever; a lost one is replaced under a new incarnation.
+pub async fn keep(node: Rc<Node>) {
+    let ttl = Duration::from_secs_f64(node.settings.operator.lease_s);
+    let mut first = true;
+    loop {
+        match enter(&node, ttl, first).await {
+            Ok(current) => {
+                first = false;
+                tracing::info!(incarnation = %current.incarnation, lease = current.lease, "lease taken");
+                let lease = current.lease;
+                node.presence.set(Some(current));
+                renew(&node, lease, ttl).await;
+                node.presence.valid_until.set(None);
+                node.presence.set(None);
+                tracing::warn!(lease, "lease lost");
+            }
+            Err(error) => {
+                tracing::debug!(%error, "can't take a lease");
+                let jitter = rand::random_range(100..400);
+                tokio::time::sleep(Duration::from_millis(jitter)).await;
+            }
+        }
+    }
+}
+
+async fn enter(node: &Node, ttl: Duration, first: bool) -> Result<Current, StateError> {
+    let key = controller_key(&node.name);
+    let found = node.state.get(Use::Lease, &key).await?;
+    if let Some(old) = found.as_ref().filter(|_| first) {
+        // What a former process of this controller left: that process is gone, so its lease
+        // can end at once and nobody has to wait for it.
+        if let Ok(record) = serde_json::from_value::<Record>(old.value.clone()) {
+            node.state.revoke(record.lease).await?;
+        }
+    }
+    let found = node.state.get(Use::Lease, &key).await?;
+    let begun = now();
+    let lease = node.state.grant(ttl).await?;
+    let incarnation = format!("{}-{:08x}", node.name, rand::random::<u32>());
+    let record = Record { incarnation: incarnation.clone(), lease };
+    let value = serde_json::to_value(&record).unwrap_or_default();
+    let version = found.map_or(0, |item| item.version);
+    let txn = Txn::default().when(key.clone(), version).put_leased(key.clone(), value, lease);
+    let version = match node.state.txn(Use::Lease, &txn).await {
+        Ok(version) => version,
+        Err(StateError::NoAnswer(error)) => {
+            // It may have been carried out all the same.
+            let read = node.state.get(Use::Lease, &key).await?;
+            match read.filter(|item| item.value["incarnation"] == incarnation.as_str()) {
+                Some(item) => item.version,
+                None => return Err(StateError::NoAnswer(error)),
+            }
+        }
+        Err(error) => return Err(error),
+    };
+    node.presence.valid_until.set(Some(begun + trusted(ttl)));
+    Ok(Current { incarnation, lease, version })
+}
+
+/// The part of a lease's time that counts, allowing for drift and for delays of our own.
+fn trusted(ttl: Duration) -> Duration {
+    ttl.mul_f64(0.998).saturating_sub(Duration::from_millis(300))
+}
+
+/// Returns when the lease is lost.
+async fn renew(node: &Node, lease: u64, ttl: Duration) {
+    loop {
+        let begun = now();
+        let pause = match node.state.renew(lease, ttl.mul_f64(0.2)).await {
+            Ok(()) => {
+                node.presence.valid_until.set(Some(begun + trusted(ttl)));
+                ttl.mul_f64(0.2)
+            }
+            Err(StateError::NoSuchLease) => return,
+            Err(error) => {
+                tracing::debug!(%error, "renewal failed");
+                ttl.mul_f64(0.03)
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
--- /dev/null
+++ b/crates/corkfield/src/settings.rs
@@ -0,0 +1,194 @@
+//! Settings: the platform's file (TOML), the operators' own (JSON), and the log level.
+
+use corkfield_core::Config;
+use corkfield_wire::settings::{Platform, SettingsError};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tracing_subscriber::filter::LevelFilter;
+
+/// The operators' own settings. All have defaults; unknown ones are errors.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct Operator {
+    /// Time to live of a controller's lease, in seconds.
+    #[schemars(range(min = 1.0, max = 120.0))]
+    pub lease_s: f64,
+    /// Records in one claiming transaction.
+    #[schemars(range(min = 1, max = 100))]
+    pub claim_batch: u32,
+    /// Claims that a job may have without progress before it is set aside.
+    #[schemars(range(min = 1, max = 1000))]
+    pub claim_limit: u32,
+    /// How long the answer to an idle machine's report may wait for work, in seconds.
+    #[schemars(range(min = 0.0, max = 3.0))]
+    pub hold_s: f64,
+    /// How long an idle machine is kept before it is returned, in seconds.
+    #[schemars(range(min = 0.0, max = 86400.0))]
+    pub idle_keep_s: f64,
+    /// Machines looked at for one placement; more candidates than this are sampled.
+    #[schemars(range(min = 1, max = 10000))]
+    pub placement_sample: u32,
+    /// Unfinished jobs above which new ones are refused for the time being.
+    #[schemars(range(min = 1, max = 1000000))]
+    pub max_jobs: u32,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Self {
+            lease_s: 10.0,
+            claim_batch: 4,
+            claim_limit: 12,
+            hold_s: 2.0,
+            idle_keep_s: 60.0,
+            placement_sample: 64,
+            max_jobs: 4000,
+        }
+    }
+}
+
+impl Operator {
+    fn check(&self) -> Result<(), String> {
+        let ranges = [
+            ("lease_s", self.lease_s, 1.0, 120.0),
+            ("claim_batch", f64::from(self.claim_batch), 1.0, 100.0),
+            ("claim_limit", f64::from(self.claim_limit), 1.0, 1000.0),
+            ("hold_s", self.hold_s, 0.0, 3.0),
+            ("idle_keep_s", self.idle_keep_s, 0.0, 86400.0),
+            ("placement_sample", f64::from(self.placement_sample), 1.0, 10000.0),
+            ("max_jobs", f64::from(self.max_jobs), 1.0, 1e6),
+        ];
+        for (field, value, least, most) in ranges {
+            if !(least..=most).contains(&value) {
+                return Err(format!("{field}: must be from {least} to {most}"));
+            }
+        }
+        Ok(())
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum LoadError {
+    #[error("{path}: {error}")]
+    Read { path: PathBuf, error: std::io::Error },
+    #[error("{path}: {error}")]
+    Platform { path: PathBuf, error: SettingsError },
+    #[error("{path}: {error}")]
+    Operator { path: PathBuf, error: String },
+}
+
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub platform: Platform,
+    pub operator: Operator,
+}
+
+impl Settings {
+    pub fn load(config: &Path, operator: Option<&Path>) -> Result<Self, LoadError> {
+        let read = |path: &Path| {
+            std::fs::read_to_string(path)
+                .map_err(|error| LoadError::Read { path: path.to_owned(), error })
+        };
+        let platform = Platform::parse(&read(config)?)
+            .map_err(|error| LoadError::Platform { path: config.to_owned(), error })?;
+        let operator = match operator {
+            Some(path) => parse_operator(&read(path)?)
+                .map_err(|error| LoadError::Operator { path: path.to_owned(), error })?,
+            None => Operator::default(),
+        };
+        Ok(Self { platform, operator })
+    }
+
+    /// How long a controller without fresh state goes on answering reports (S6): after that a
+    /// worker's whole lease still has to pass before a cancellation's time is over.
+    pub fn answer_limit(&self) -> Duration {
+        let workers = &self.platform.params.workers;
+        let left = workers.cancel_s - workers.lease_s * 1.002 - 4.0;
+        Duration::from_secs_f64(left.max(1.0))
+    }
+
+    pub fn planner_config(&self) -> Config {
+        let params = &self.platform.params;
+        Config {
+            teams: params.teams.clone(),
+            objectives: params.objectives.clone(),
+            worker_lease: params.workers.lease(),
+            report_interval: params.workers.report_interval(),
+            answer_limit: self.answer_limit(),
+            list_lag: Duration::from_secs_f64(params.cloud.list_lag_s),
+            claim_limit: self.operator.claim_limit,
+            placement_sample: self.operator.placement_sample as usize,
+            idle_keep: Duration::from_secs_f64(self.operator.idle_keep_s),
+        }
+    }
+
+    pub fn summary(&self) -> String {
+        let platform = &self.platform;
+        let operator = serde_json::to_string_pretty(&self.operator).unwrap_or_default();
+        format!(
+            "controller {} in zone {}, {} controllers, {} teams\nusers and workers: {}\ncontrollers: {}\nstate service: {}\ncloud: {}\noperators' settings: {operator}\nsettings are valid",
+            platform.node,
+            platform.zone,
+            platform.params.size,
+            platform.params.teams.len(),
+            platform.listen,
+            platform.peer_listen,
+            platform.endpoints.state,
+            platform.endpoints.cloud,
+        )
+    }
+}
+
+fn parse_operator(text: &str) -> Result<Operator, String> {
+    let value: serde_json::Value = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    if !value.is_object() {
+        return Err("must be a JSON object".to_owned());
+    }
+    let operator: Operator = serde_json::from_value(value).map_err(|e| e.to_string())?;
+    operator.check()?;
+    Ok(operator)
+}
+
+pub fn schema() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(Operator)).unwrap_or_default()
+}
+
+/// Logs go to standard error, at the level that `LOG_LEVEL` names.
+pub fn start_logging() -> Result<(), String> {
+    let level = match std::env::var("LOG_LEVEL").as_deref() {
+        Ok("error") => LevelFilter::ERROR,
+        Ok("warn") => LevelFilter::WARN,
+        Ok("info" | "") | Err(_) => LevelFilter::INFO,
+        Ok("debug") => LevelFilter::DEBUG,
+        Ok(other) => return Err(format!("LOG_LEVEL: `{other}` is not error, warn, info or debug")),
+    };
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_max_level(level)
+        .with_target(false)
+        .with_ansi(false)
+        .init();
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn operators_mistakes_are_named() {
+        assert!(parse_operator("{\"lease_s\": 5}").is_ok());
+        assert!(parse_operator("{\"leas_s\": 5}").unwrap_err().contains("leas_s"));
+        let error = parse_operator("{\"hold_s\": 9}").unwrap_err();
+        assert!(error.contains("hold_s"), "{error}");
+        assert!(parse_operator("[]").is_err());
+    }
+
+    #[test]
+    fn the_published_schema_is_that_of_the_settings() {
+        let published = include_str!("../../../docs/operator.schema.json");
+        assert_eq!(published.trim(), schema().trim());
+    }
+}
--- /dev/null
+++ b/crates/corkfield/src/users.rs
@@ -0,0 +1,193 @@
+//! Answers to users. Only what is stored is answered (S1).
+
+use crate::node::{error, json, later, wall_ms, Node};
+use corkfield_core::fits_some_type;
+use corkfield_http::Response;
+use corkfield_state::{StateError, Use};
+use corkfield_wire::records::{final_key, job_key, FinalRecord, JobRecord};
+use corkfield_wire::store::Txn;
+use corkfield_wire::user::{BadSubmission, JobView};
+use corkfield_wire::{JobId, JobSpec, JobStatus};
+use std::time::Duration;
+
+/// Users wait 2 s for a query and 5 s for a submission or a cancellation.
+const QUERY_LIMIT: Duration = Duration::from_millis(1700);
+const CHANGE_LIMIT: Duration = Duration::from_millis(4500);
+const NO_STORE: &str = "the state service doesn't answer";
+
+/// What the store holds of a job, read after the request came in.
+enum Found {
+    Live(Box<JobRecord>, u64),
+    Final(FinalRecord),
+    Nothing,
+}
+
+async fn find(node: &Node, id: &JobId) -> Result<Found, ()> {
+    if let Some(record) = node.follower.cache.borrow().known_final(id) {
+        return Ok(Found::Final(record));
+    }
+    if !node.follower.refresh(QUERY_LIMIT).await {
+        return Err(());
+    }
+    if let Some((record, version)) = node.follower.cache.borrow().jobs.get(id).cloned() {
+        return Ok(Found::Live(Box::new(record), version));
+    }
+    // Jobs that are over are not followed. One that is neither unfinished nor over now was
+    // never accepted: final records are written in the transaction that drops the others.
+    let read = node.state.get(Use::Reading, &final_key(id)).await.map_err(|_| ())?;
+    let Some(item) = read else {
+        return Ok(Found::Nothing);
+    };
+    let record: FinalRecord = serde_json::from_value(item.value).map_err(|_| ())?;
+    node.follower.cache.borrow_mut().note_final(id, record.clone());
+    Ok(Found::Final(record))
+}
+
+fn view(id: &JobId, status: JobStatus, done: u32, running: u32) -> JobView {
+    JobView { id: id.clone(), status, done: Some(done), running: Some(running) }
+}
+
+fn answer(id: &JobId, found: &Found) -> Option<Response> {
+    match found {
+        Found::Live(record, _) => {
+            Some(json(200, &view(id, record.status(), record.done, record.running)))
+        }
+        Found::Final(record) => Some(json(200, &view(id, record.status, record.done, 0))),
+        Found::Nothing => None,
+    }
+}
+
+pub async fn query(node: &Node, id: &JobId) -> Response {
+    match tokio::time::timeout(QUERY_LIMIT, find(node, id)).await {
+        Ok(Ok(found)) => answer(id, &found).unwrap_or_else(|| error(404, "no such job")),
+        _ => later(NO_STORE),
+    }
+}
+
+pub async fn submit(node: &Node, body: &[u8]) -> Response {
+    let parsed = JobSpec::parse(body);
+    let work = async {
+        match parsed {
+            Ok(spec) => accept(node, spec).await,
+            Err(BadSubmission { id, reason }) => refuse(node, id.as_ref(), 400, &reason).await,
+        }
+    };
+    tokio::time::timeout(CHANGE_LIMIT, work).await.unwrap_or_else(|_| later(NO_STORE))
+}
+
+/// Refuses a submission for good, unless its id was accepted before (S2).
+async fn refuse(node: &Node, id: Option<&JobId>, status: u16, reason: &str) -> Response {
+    let Some(id) = id else {
+        return error(status, reason);
+    };
+    match find(node, id).await {
+        Ok(found) => answer(id, &found).unwrap_or_else(|| error(status, reason)),
+        Err(()) => later(NO_STORE),
+    }
+}
+
+async fn accept(node: &Node, spec: JobSpec) -> Response {
+    let id = spec.id.clone();
+    let teams = &node.settings.platform.params.teams;
+    let (verdict, crowded) = {
+        let cache = node.follower.cache.borrow();
+        let crowded = cache.jobs.len() >= node.settings.operator.max_jobs as usize;
+        (cache.types.as_ref().map(|types| fits_some_type(&spec, teams, types)), crowded)
+    };
+    match verdict {
+        Some(Ok(())) if !crowded => {}
+        Some(Err(misfit)) => return refuse(node, Some(&id), 422, &misfit.to_string()).await,
+        // Too much, or the machine types are not known yet: a known job is still recognised.
+        _ => {
+            return match find(node, &id).await {
+                Ok(found) => answer(&id, &found).unwrap_or_else(|| later("not now")),
+                Err(()) => later(NO_STORE),
+            };
+        }
+    }
+    let record = JobRecord::new(spec, wall_ms());
+    let Ok(value) = serde_json::to_value(&record) else {
+        return error(400, "unstorable");
+    };
+    let txn = Txn::default().when(job_key(&id), 0).when(final_key(&id), 0).put(job_key(&id), value);
+    loop {
+        match node.state.txn(Use::Submission, &txn).await {
+            Ok(_) => {
+                tracing::debug!(job = %id, "accepted");
+                return json(201, &view(&id, JobStatus::Queued, 0, 0));
+            }
+            Err(StateError::Conflict(_)) => {
+                // Known already, perhaps by an earlier try of ours whose answer was lost.
+                return match find(node, &id).await {
+                    Ok(found) => answer(&id, &found).unwrap_or_else(|| later("not now")),
+                    Err(()) => later(NO_STORE),
+                };
+            }
+            Err(StateError::NoAnswer(_) | StateError::Refused(429)) => {
+                tokio::time::sleep(Duration::from_millis(rand::random_range(50..150))).await;
+            }
+            Err(error) => {
+                tracing::debug!(job = %id, %error, "can't store a submission");
+                return later(NO_STORE);
+            }
+        }
+    }
+}
+
+pub async fn cancel(node: &Node, id: &JobId) -> Response {
+    let work = async {
+        loop {
+            let (record, version) = match find(node, id).await {
+                Ok(Found::Live(record, version)) => (record, version),
+                Ok(found) => {
+                    return answer(id, &found).unwrap_or_else(|| error(404, "no such job"));
+                }
+                Err(()) => return later(NO_STORE),
+            };
+            let over = FinalRecord { status: JobStatus::Cancelled, done: record.done };
+            let value = serde_json::to_value(&over).unwrap_or_default();
+            let txn = Txn::default()
+                .when(job_key(id), version)
+                .when(final_key(id), 0)
+                .delete(job_key(id))
+                .put(final_key(id), value);
+            match node.state.txn(Use::Claim, &txn).await {
+                Ok(_) => {
+                    tracing::debug!(job = %id, "cancelled");
+                    node.follower.cache.borrow_mut().note_final(id, over.clone());
+                    return json(200, &view(id, over.status, over.done, 0));
+                }
+                Err(
+                    StateError::Conflict(_) | StateError::NoAnswer(_) | StateError::Refused(429),
+                ) => {
+                    tokio::time::sleep(Duration::from_millis(rand::random_range(5..50))).await;
+                }
+                Err(error) => {
+                    tracing::debug!(job = %id, %error, "can't store a cancellation");
+                    return later(NO_STORE);
+                }
+            }
+        }
+    };
+    tokio::time::timeout(CHANGE_LIMIT, work).await.unwrap_or_else(|_| later(NO_STORE))
+}
+
+/// An operator lets a job that was set aside run again.
+pub async fn release(node: &Node, id: &JobId) -> Response {
+    let Ok(Found::Live(record, version)) = find(node, id).await else {
+        return error(404, "no such unfinished job");
+    };
+    if !record.set_aside {
+        return error(409, "the job is not set aside");
+    }
+    let record = JobRecord { set_aside: false, claims: 0, owner: None, ..*record };
+    let value = serde_json::to_value(&record).unwrap_or_default();
+    let txn = Txn::default().when(job_key(id), version).put(job_key(id), value);
+    match node.state.txn(Use::Submission, &txn).await {
+        Ok(_) => json(200, &view(id, JobStatus::Queued, record.done, 0)),
+        Err(error) => {
+            tracing::debug!(job = %id, %error, "can't release");
+            later(NO_STORE)
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,9 @@
+//! A small HTTP/1.1 server and client: bounded sizes, bounded times, no pipelining.
+#![forbid(unsafe_code)]
+
+pub mod client;
+mod message;
+pub mod server;
+
+pub use client::{Client, ClientError, Reply};
+pub use server::{serve, Limits, Request, Response};
--- /dev/null
+++ b/crates/http/src/message.rs
@@ -0,0 +1,119 @@
+//! Reading heads and bodies, shared by the server and the client.
+
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+pub(crate) const MAX_HEAD: usize = 8 * 1024;
+pub(crate) const MAX_HEADERS: usize = 48;
+
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    #[error("connection closed")]
+    Closed,
+    #[error("head over {MAX_HEAD} bytes")]
+    HeadTooLarge,
+    #[error("body too large")]
+    BodyTooLarge,
+    #[error("malformed message")]
+    Malformed,
+    #[error("transfer encoding is not served")]
+    Encoding,
+    #[error("i/o: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// How a message's body is delimited, and whether the connection goes on after it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Framing {
+    pub length: Option<usize>,
+    pub chunked: bool,
+    pub close: bool,
+    pub expects_continue: bool,
+}
+
+pub(crate) fn framing(headers: &[httparse::Header<'_>]) -> Result<Framing, ReadError> {
+    let mut framing = Framing::default();
+    for header in headers {
+        let text = std::str::from_utf8(header.value).unwrap_or("").trim();
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let length: usize = text.parse().map_err(|_| ReadError::Malformed)?;
+            if framing.length.is_some_and(|known| known != length) {
+                return Err(ReadError::Malformed);
+            }
+            framing.length = Some(length);
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            framing.chunked = text.eq_ignore_ascii_case("chunked");
+            if !framing.chunked {
+                return Err(ReadError::Encoding);
+            }
+        } else if header.name.eq_ignore_ascii_case("connection") {
+            framing.close = text.split(',').any(|t| t.trim().eq_ignore_ascii_case("close"));
+        } else if header.name.eq_ignore_ascii_case("expect") {
+            framing.expects_continue = text.eq_ignore_ascii_case("100-continue");
+        }
+    }
+    if framing.chunked && framing.length.is_some() {
+        return Err(ReadError::Malformed);
+    }
+    Ok(framing)
+}
+
+/// Reads more bytes onto `buffer`; the peer closing is an error.
+pub(crate) async fn fill<R: AsyncRead + Unpin>(
+    stream: &mut R,
+    buffer: &mut Vec<u8>,
+) -> Result<(), ReadError> {
+    buffer.reserve(2048);
+    match stream.read_buf(buffer).await? {
+        0 => Err(ReadError::Closed),
+        _ => Ok(()),
+    }
+}
+
+/// Takes a body of `length` bytes off the front of `buffer`, reading what is missing.
+pub(crate) async fn sized_body<R: AsyncRead + Unpin>(
+    stream: &mut R,
+    buffer: &mut Vec<u8>,
+    length: usize,
+    limit: usize,
+) -> Result<Vec<u8>, ReadError> {
+    if length > limit {
+        return Err(ReadError::BodyTooLarge);
+    }
+    while buffer.len() < length {
+        fill(stream, buffer).await?;
+    }
+    let rest = buffer.split_off(length);
+    Ok(std::mem::replace(buffer, rest))
+}
+
+/// Takes a chunked body off the front of `buffer`, reading what is missing.
+pub(crate) async fn chunked_body<R: AsyncRead + Unpin>(
+    stream: &mut R,
+    buffer: &mut Vec<u8>,
+    limit: usize,
+) -> Result<Vec<u8>, ReadError> {
+    let mut body = Vec::new();
+    loop {
+        let (start, size) = loop {
+            match httparse::parse_chunk_size(buffer) {
+                Ok(httparse::Status::Complete(found)) => break found,
+                Ok(httparse::Status::Partial) if buffer.len() < 64 => {
+                    fill(stream, buffer).await?;
+                }
+                _ => return Err(ReadError::Malformed),
+            }
+        };
+        let size = usize::try_from(size).map_err(|_| ReadError::BodyTooLarge)?;
+        if size.saturating_add(body.len()) > limit {
+            return Err(ReadError::BodyTooLarge);
+        }
+        while buffer.len() < start + size + 2 {
+            fill(stream, buffer).await?;
+        }
+        body.extend_from_slice(&buffer[start..start + size]);
+        buffer.drain(..start + size + 2);
+        if size == 0 {
+            return Ok(body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,251 @@
+//! The server: one task per connection, one request at a time on each.
+
+use crate::message::{self, ReadError, MAX_HEAD, MAX_HEADERS};
+use std::cell::Cell;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+#[derive(Debug, Clone)]
+pub struct Limits {
+    pub connections: usize,
+    pub body: usize,
+    /// A connection without a request is closed after this time.
+    pub idle: Duration,
+    /// A request that has begun must be complete within this time.
+    pub request: Duration,
+    /// A response must be taken within this time.
+    pub write: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 256,
+            body: 64 * 1024,
+            idle: Duration::from_secs(120),
+            request: Duration::from_secs(5),
+            write: Duration::from_secs(5),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub method: String,
+    /// Path and query as they came.
+    pub target: String,
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("")
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    /// Seconds after which the client should come back.
+    pub retry_after: Option<u64>,
+}
+
+impl Response {
+    pub fn new(status: u16, body: Vec<u8>) -> Self {
+        Self { status, body, retry_after: None }
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        _ => "Service Unavailable",
+    }
+}
+
+/// Accepts connections for ever. A failing accept (no free sockets, say) never ends it.
+pub async fn serve<H, F>(listener: TcpListener, limits: Limits, handler: Rc<H>)
+where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Response> + 'static,
+{
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        match listener.accept().await {
+            // Above the limit a connection is closed at once: its client goes elsewhere.
+            Ok((stream, _)) if open.get() < limits.connections => {
+                open.set(open.get() + 1);
+                let (limits, handler, open) = (limits.clone(), handler.clone(), open.clone());
+                tokio::task::spawn_local(async move {
+                    let _ = connection(stream, &limits, &*handler).await;
+                    open.set(open.get() - 1);
+                });
+            }
+            Ok((stream, _)) => drop(stream),
+            Err(error) => {
+                tracing::debug!(%error, "accept failed");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn connection<H, F>(
+    mut stream: TcpStream,
+    limits: &Limits,
+    handler: &H,
+) -> Result<(), ReadError>
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Response>,
+{
+    // Only a matter of speed: a platform that refuses it loses nothing else.
+    let _ = stream.set_nodelay(true);
+    let mut buffer = Vec::new();
+    loop {
+        if buffer.is_empty() {
+            match timeout(limits.idle, message::fill(&mut stream, &mut buffer)).await {
+                Ok(filled) => filled?,
+                Err(_) => return Ok(()),
+            }
+        }
+        let read = timeout(limits.request, read_request(&mut stream, &mut buffer, limits)).await;
+        let (response, close) = match read {
+            Ok(Ok((request, close))) => (handler(request).await, close),
+            Ok(Err(ReadError::Closed | ReadError::Io(_))) | Err(_) => return Ok(()),
+            Ok(Err(error)) => {
+                let body = format!("{{\"error\":\"{error}\"}}").into_bytes();
+                (Response::new(400, body), true)
+            }
+        };
+        let bytes = encode(&response, close);
+        match timeout(limits.write, stream.write_all(&bytes)).await {
+            Ok(written) => written?,
+            Err(_) => return Ok(()),
+        }
+        if close {
+            let _ = stream.shutdown().await;
+            return Ok(());
+        }
+        if buffer.capacity() > 16 * 1024 {
+            buffer.shrink_to(4 * 1024);
+        }
+    }
+}
+
+fn encode(response: &Response, close: bool) -> Vec<u8> {
+    use std::fmt::Write as _;
+    let mut head = format!(
+        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+        response.status,
+        reason(response.status),
+        response.body.len()
+    );
+    if let Some(seconds) = response.retry_after {
+        let _ = write!(head, "Retry-After: {seconds}\r\n");
+    }
+    if close {
+        head.push_str("Connection: close\r\n");
+    }
+    head.push_str("\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(&response.body);
+    bytes
+}
+
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    limits: &Limits,
+) -> Result<(Request, bool), ReadError> {
+    let (method, target, framing, head) = loop {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut headers);
+        match parsed.parse(buffer) {
+            Ok(httparse::Status::Complete(head)) => {
+                let framing = message::framing(parsed.headers)?;
+                let method = parsed.method.unwrap_or("").to_owned();
+                break (method, parsed.path.unwrap_or("").to_owned(), framing, head);
+            }
+            Ok(httparse::Status::Partial) if buffer.len() > MAX_HEAD => {
+                return Err(ReadError::HeadTooLarge);
+            }
+            Ok(httparse::Status::Partial) => message::fill(stream, buffer).await?,
+            Err(httparse::Error::TooManyHeaders) => return Err(ReadError::HeadTooLarge),
+            Err(_) => return Err(ReadError::Malformed),
+        }
+    };
+    buffer.drain(..head);
+    if framing.expects_continue {
+        stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+    }
+    let body = if framing.chunked {
+        message::chunked_body(stream, buffer, limits.body).await?
+    } else {
+        let length = framing.length.unwrap_or(0);
+        message::sized_body(stream, buffer, length, limits.body).await?
+    };
+    Ok((Request { method, target, body }, framing.close))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::AsyncReadExt;
+
+    async fn exchange(bytes: &[u8]) -> String {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let handler = |r: Request| async move {
+            Response::new(200, format!("{} {} {}", r.method, r.path(), r.body.len()).into_bytes())
+        };
+        tokio::task::spawn_local(serve(listener, Limits::default(), Rc::new(handler)));
+        let mut stream = TcpStream::connect(addr).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer).await;
+        answer
+    }
+
+    fn run<T>(future: impl Future<Output = T>) -> T {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, future)
+    }
+
+    #[test]
+    fn requests_are_answered_in_turn_and_chunks_are_joined() {
+        run(async {
+            let two = b"GET /a?x=1 HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+            let answer = exchange(two).await;
+            assert!(answer.contains("GET /a 0") && answer.contains("POST /b 3"), "{answer}");
+        });
+    }
+
+    #[test]
+    fn bad_and_oversized_requests_get_400_and_a_closed_connection() {
+        run(async {
+            let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "y".repeat(20_000));
+            let big = b"POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n".to_vec();
+            let twice =
+                b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab".to_vec();
+            for bytes in [b"\x00\x01\x02\r\n\r\n".to_vec(), long.into_bytes(), big, twice] {
+                let answer = exchange(&bytes).await;
+                assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{answer}");
+            }
+            assert_eq!(exchange(b"GET / HT").await, "", "half a request is never answered");
+        });
+    }
+}
--- /dev/null
+++ b/crates/state/src/client.rs
@@ -0,0 +1,177 @@
+//! Requests to the state service.
+
+use crate::budget::{Budget, Use};
+use corkfield_http::{Client, ClientError, Reply};
+use corkfield_wire::store::{
+    Events, Failed, Grant, GrantRequest, Item, Page, Revision, Txn, PATH_KEYS, PATH_LEASES,
+    PATH_RENEW, PATH_TXN, PATH_WATCH,
+};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const MAX_BODY: usize = 8 * 1024 * 1024;
+const CONNECTIONS: usize = 24;
+const PAGE: u32 = 1000;
+
+#[derive(Debug, thiserror::Error)]
+pub enum StateError {
+    #[error("conditions failed: {0:?}")]
+    Conflict(Vec<String>),
+    #[error("no such lease")]
+    NoSuchLease,
+    #[error("revision is too old to watch from")]
+    TooOld,
+    /// The request was surely not executed.
+    #[error("refused with status {0}")]
+    Refused(u16),
+    /// The request may have been executed, or may be executed later on.
+    #[error("no answer: {0}")]
+    NoAnswer(#[from] ClientError),
+    #[error("nonsense from the state service: {0}")]
+    Nonsense(String),
+}
+
+pub struct StateClient {
+    http: Client,
+    requests: Budget,
+    writes: Budget,
+    rps: f64,
+    write_rps: f64,
+    timeout: Duration,
+}
+
+impl StateClient {
+    /// `rps` and `write_rps` are the service's limits for all controllers together.
+    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64) -> Self {
+        let client = Self {
+            http: Client::new(addr, CONNECTIONS, MAX_BODY),
+            requests: Budget::new(rps, rps),
+            writes: Budget::new(write_rps, write_rps),
+            rps,
+            write_rps,
+            timeout: Duration::from_millis(1500),
+        };
+        client.set_share(0.2);
+        client
+    }
+
+    /// The part of the limits that this controller may use.
+    pub fn set_share(&self, share: f64) {
+        self.requests.set_rate(self.rps * share, self.rps * share);
+        self.writes.set_rate(self.write_rps * share, self.write_rps * share);
+    }
+
+    async fn send(
+        &self,
+        for_use: Use,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        limit: Duration,
+    ) -> Result<Reply, StateError> {
+        self.requests.take(for_use, 1.0).await;
+        let reply = self.http.request(method, target, body, limit).await?;
+        match reply.status {
+            429 | 500..=599 => Err(StateError::Refused(reply.status)),
+            _ => Ok(reply),
+        }
+    }
+
+    pub async fn get(&self, for_use: Use, key: &str) -> Result<Option<Item>, StateError> {
+        let target = format!("{PATH_KEYS}/{key}");
+        let reply = self.send(for_use, "GET", &target, b"", self.timeout).await?;
+        match reply.status {
+            404 => Ok(None),
+            _ => read(&reply).map(Some),
+        }
+    }
+
+    /// All keys with a prefix, and the revision that the first page was read at. Changes after
+    /// that revision may or may not be contained: follow them with [`Self::changes`].
+    pub async fn list(&self, for_use: Use, prefix: &str) -> Result<(Vec<Item>, u64), StateError> {
+        let mut items: Vec<Item> = Vec::new();
+        let mut revision = None;
+        loop {
+            let after = items.last().map(|i| format!("&after={}", i.key)).unwrap_or_default();
+            let target = format!("{PATH_KEYS}?prefix={prefix}{after}&limit={PAGE}");
+            let reply = self.send(for_use, "GET", &target, b"", self.timeout).await?;
+            let page: Page = read(&reply)?;
+            let first = *revision.get_or_insert(page.revision);
+            let empty = page.items.is_empty();
+            items.extend(page.items);
+            if !page.more || empty {
+                return Ok((items, first));
+            }
+        }
+    }
+
+    pub async fn txn(&self, for_use: Use, txn: &Txn) -> Result<u64, StateError> {
+        let writes = txn.changes.len() as f64;
+        if writes > 0.0 {
+            self.writes.take(for_use, writes).await;
+        }
+        let body = serde_json::to_vec(txn).map_err(|e| StateError::Nonsense(e.to_string()))?;
+        let reply = self.send(for_use, "POST", PATH_TXN, &body, self.timeout).await?;
+        match reply.status {
+            409 => Err(StateError::Conflict(read_any::<Failed>(&reply)?.failed)),
+            400 if contains(&reply.body, b"no such lease") => Err(StateError::NoSuchLease),
+            _ => read::<Revision>(&reply).map(|r| r.revision),
+        }
+    }
+
+    pub async fn grant(&self, ttl: Duration) -> Result<u64, StateError> {
+        let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let body = serde_json::to_vec(&GrantRequest { ttl_ms }).unwrap_or_default();
+        let reply = self.send(Use::Lease, "POST", PATH_LEASES, &body, self.timeout).await?;
+        read::<Grant>(&reply).map(|g| g.lease)
+    }
+
+    pub async fn renew(&self, lease: u64, limit: Duration) -> Result<(), StateError> {
+        let target = format!("{PATH_LEASES}/{lease}/{PATH_RENEW}");
+        let reply = self.send(Use::Lease, "POST", &target, b"", limit).await?;
+        match reply.status {
+            200 => Ok(()),
+            404 => Err(StateError::NoSuchLease),
+            status => Err(StateError::Nonsense(format!("status {status}"))),
+        }
+    }
+
+    pub async fn revoke(&self, lease: u64) -> Result<(), StateError> {
+        let target = format!("{PATH_LEASES}/{lease}");
+        self.send(Use::Lease, "DELETE", &target, b"", self.timeout).await.map(|_| ())
+    }
+
+    /// Changes after a revision; waits up to `wait` for the first.
+    pub async fn changes(
+        &self,
+        for_use: Use,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Events, StateError> {
+        let wait_ms = wait.as_millis();
+        let target = format!("{PATH_WATCH}?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let limit = wait + self.timeout;
+        let reply = self.send(for_use, "GET", &target, b"", limit).await?;
+        match reply.status {
+            410 => Err(StateError::TooOld),
+            _ => read(&reply),
+        }
+    }
+}
+
+fn contains(body: &[u8], part: &[u8]) -> bool {
+    body.windows(part.len()).any(|w| w == part)
+}
+
+fn read<T: DeserializeOwned>(reply: &Reply) -> Result<T, StateError> {
+    if reply.status != 200 {
+        return Err(StateError::Nonsense(format!("status {}", reply.status)));
+    }
+    read_any(reply)
+}
+
+fn read_any<T: DeserializeOwned>(reply: &Reply) -> Result<T, StateError> {
+    serde_json::from_slice(&reply.body).map_err(|e| StateError::Nonsense(e.to_string()))
+}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,8 @@
+//! The state service's client: leases, transactions, watches, all within a request budget.
+#![forbid(unsafe_code)]
+
+mod budget;
+mod client;
+
+pub use budget::{Budget, Use};
+pub use client::{StateClient, StateError};
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,53 @@
+//! What controllers say to one another: borsh, each frame led by its length and a version.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+
+pub const VERSION: u8 = 1;
+/// No frame may be longer.
+pub const MAX_FRAME: usize = 256 * 1024;
+
+/// One controller's view, sent once a second or so.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Hello {
+    pub node: String,
+    pub incarnation: String,
+    /// The state service answered this controller a moment ago.
+    pub store_ok: bool,
+    /// The planner that it knows of, and that planner's term.
+    pub planner: Option<String>,
+    pub term: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Frame {
+    Hello(Hello),
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    #[error("unknown peer version {0}")]
+    Version(u8),
+    #[error("malformed frame")]
+    Malformed,
+}
+
+impl Frame {
+    /// The frame as it goes over the link: length (4 bytes, little endian), version, body.
+    pub fn encode(&self) -> Vec<u8> {
+        let body = borsh::to_vec(self).unwrap_or_default();
+        let length = u32::try_from(body.len() + 1).unwrap_or(u32::MAX);
+        let mut bytes = length.to_le_bytes().to_vec();
+        bytes.push(VERSION);
+        bytes.extend(body);
+        bytes
+    }
+
+    /// Reads what follows the length.
+    pub fn decode(bytes: &[u8]) -> Result<Self, FrameError> {
+        match bytes.split_first() {
+            Some((&VERSION, body)) => borsh::from_slice(body).map_err(|_| FrameError::Malformed),
+            Some((&version, _)) => Err(FrameError::Version(version)),
+            None => Err(FrameError::Malformed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/records.rs
@@ -0,0 +1,154 @@
+//! What corkfield keeps in the state service.
+//!
+//! Keys below `c/` are followed by every controller: presence, the planner record, machine
+//! types and unfinished jobs. Final states (`f/`), finished tasks of very large jobs (`d/`) and
+//! machines that may hold tasks (`h/`) are read when they are needed.
+
+use crate::cloud::MachineType;
+use crate::taskset::TaskSet;
+use crate::user::{JobId, JobSpec, JobStatus};
+use serde::{Deserialize, Serialize};
+
+pub const FOLLOWED: &str = "c/";
+pub const JOBS: &str = "c/jobs/";
+pub const CONTROLLERS: &str = "c/controllers/";
+pub const KNOCKS: &str = "c/knocks/";
+pub const PLANNER: &str = "c/planner";
+pub const TYPES: &str = "c/types";
+pub const FINALS: &str = "f/";
+pub const FINISHED: &str = "d/";
+pub const MACHINES: &str = "h/";
+
+/// Tasks whose finished numbers share one value; small enough for any sensible value limit.
+pub const CHUNK_TASKS: u32 = 1024;
+
+pub fn job_key(id: &JobId) -> String {
+    format!("{JOBS}{id}")
+}
+
+pub fn final_key(id: &JobId) -> String {
+    format!("{FINALS}{id}")
+}
+
+pub fn finished_prefix(id: &JobId) -> String {
+    format!("{FINISHED}{id}/")
+}
+
+pub fn finished_key(id: &JobId, chunk: u32) -> String {
+    format!("{FINISHED}{id}/{chunk:04}")
+}
+
+pub fn controller_key(node: &str) -> String {
+    format!("{CONTROLLERS}{node}")
+}
+
+pub fn knock_key(node: &str) -> String {
+    format!("{KNOCKS}{node}")
+}
+
+pub fn machine_key(name: &str) -> String {
+    format!("{MACHINES}{name}")
+}
+
+/// An unfinished job. Its owner is the controller incarnation that claimed it last; a write
+/// that settles tasks is conditional on the record's version, and so on its generation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub spec: JobSpec,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<String>,
+    /// Raised by every claim; the guide's fencing token.
+    pub generation: u64,
+    /// Claims since the job last made progress.
+    pub claims: u32,
+    /// Time of day of the acceptance, in milliseconds since 1970.
+    pub accepted_ms: u64,
+    /// Finished tasks, where the job is small enough to keep them here.
+    #[serde(default, skip_serializing_if = "TaskSet::is_empty")]
+    pub finished: TaskSet,
+    #[serde(default)]
+    pub done: u32,
+    #[serde(default)]
+    pub running: u32,
+    /// Set aside at the claim limit, until an operator releases it or its user cancels it.
+    #[serde(default)]
+    pub set_aside: bool,
+    /// Tried again no earlier than this time of day, in milliseconds since 1970.
+    #[serde(default)]
+    pub not_before_ms: u64,
+}
+
+impl JobRecord {
+    pub fn new(spec: JobSpec, accepted_ms: u64) -> Self {
+        Self {
+            spec,
+            owner: None,
+            generation: 0,
+            claims: 0,
+            accepted_ms,
+            finished: TaskSet::default(),
+            done: 0,
+            running: 0,
+            set_aside: false,
+            not_before_ms: 0,
+        }
+    }
+
+    pub fn is_chunked(&self) -> bool {
+        self.spec.tasks > CHUNK_TASKS
+    }
+
+    pub fn status(&self) -> JobStatus {
+        if self.running > 0 && !self.set_aside {
+            JobStatus::Running
+        } else {
+            JobStatus::Queued
+        }
+    }
+}
+
+/// A job that is over; kept for good.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinalRecord {
+    pub status: JobStatus,
+    pub done: u32,
+}
+
+/// A controller's presence; attached to its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Presence {
+    pub incarnation: String,
+    pub lease: u64,
+}
+
+/// Who plans at present, and under which term.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannerRecord {
+    /// The node that holds the record; none after an orderly hand-over.
+    pub node: Option<String>,
+    pub incarnation: String,
+    pub term: u64,
+    /// The node that should take over, after a hand-over.
+    #[serde(default)]
+    pub successor: Option<String>,
+}
+
+/// A machine that may hold tasks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    pub addr: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// Workers came to this controller although it sent them to the planner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Knock {
+    pub count: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TypesRecord {
+    pub types: Vec<MachineType>,
+}
--- /dev/null
+++ b/crates/wire/src/worker.rs
@@ -0,0 +1,160 @@
+//! What workers send, and the orders they take.
+
+use crate::user::JobId;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+pub const PATH_REPORT: &str = "/agent/beat";
+pub const PATH_COMMANDS: &str = "/commands";
+pub const PATH_STATUS: &str = "/inspect";
+
+/// One task of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct TaskId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+impl TryFrom<String> for TaskId {
+    type Error = String;
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let parsed = text.split_once('/').and_then(|(job, index)| {
+            Some(Self { job: JobId::parse(job)?, index: index.parse().ok()? })
+        });
+        parsed.ok_or_else(|| "malformed task id".to_owned())
+    }
+}
+
+impl From<TaskId> for String {
+    fn from(task: TaskId) -> Self {
+        task.to_string()
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskPhase {
+    Fetching,
+    Running,
+    Saving,
+    Exited,
+    /// A state that this version doesn't know; treated as being on the machine.
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ExitCause {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "halted")]
+    Stopped,
+    #[serde(rename = "error")]
+    Error,
+    #[serde(rename = "no_room")]
+    NoRoom,
+    #[serde(rename = "in_use")]
+    Busy,
+    #[serde(rename = "no_such")]
+    Unknown,
+    #[serde(other)]
+    Other,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskReport {
+    #[serde(rename = "piece")]
+    pub task: TaskId,
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    #[serde(rename = "status")]
+    pub phase: TaskPhase,
+    #[serde(rename = "cause", default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<ExitCause>,
+    #[serde(rename = "stored", default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<bool>,
+}
+
+/// A worker's report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    #[serde(rename = "host")]
+    pub machine: String,
+    pub addr: String,
+    #[serde(rename = "flavour")]
+    pub machine_type: String,
+    #[serde(rename = "site")]
+    pub zone: String,
+    #[serde(rename = "loaners", default)]
+    pub spot: bool,
+    #[serde(rename = "tenure")]
+    pub session: u64,
+    #[serde(rename = "serial")]
+    pub seq: u64,
+    #[serde(rename = "epoch", default)]
+    pub term: u64,
+    #[serde(rename = "warning_s", default)]
+    pub notice_s: Option<f64>,
+    #[serde(rename = "pieces", default)]
+    pub tasks: Vec<TaskReport>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "verb")]
+pub enum Order {
+    #[serde(rename = "launch")]
+    Start {
+        #[serde(rename = "piece")]
+        task: TaskId,
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+    #[serde(rename = "kill")]
+    Stop {
+        #[serde(rename = "piece")]
+        task: TaskId,
+        #[serde(rename = "try")]
+        attempt: u64,
+        #[serde(rename = "wind_down_s")]
+        grace_s: f64,
+    },
+    #[serde(rename = "reap")]
+    Forget {
+        #[serde(rename = "piece")]
+        task: TaskId,
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+}
+
+/// The answer to a report that was accepted.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReportReply {
+    #[serde(rename = "epoch")]
+    pub term: u64,
+    pub orders: Vec<Order>,
+}
+
+/// The answer that sends a worker to another controller.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Redirect {
+    #[serde(rename = "upstream", default, skip_serializing_if = "Option::is_none")]
+    pub report_to: Option<String>,
+}
+
+/// Orders sent straight to a machine.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DirectOrders {
+    #[serde(rename = "epoch")]
+    pub term: u64,
+    #[serde(rename = "tenure")]
+    pub session: u64,
+    pub orders: Vec<Order>,
+}
