--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -55,7 +55,6 @@
     pub(crate) failures: u32,
     /// Run time of its completed tasks: count and sum in seconds.
     pub(crate) runs: (u32, f64),
-    pub(crate) first_wait: Instant,
 }
 
 impl Job {
@@ -90,7 +89,6 @@
             failed_on: Vec::new(),
             failures: 0,
             runs: (0, 0.0),
-            first_wait: now,
         }
     }
 
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -17,6 +17,9 @@
 /// A task expected to end sooner than this is not stopped for another.
 const NEARLY_DONE_S: f64 = 6.0;
 
+/// The part of an aim's time that passes before work is stopped for a job that waits.
+const PATIENCE: f64 = 0.35;
+
 /// A machine with room, during one pass.
 struct Room {
     name: String,
@@ -24,6 +27,19 @@
     zone: String,
     /// Failed its last task: gets one at a time until one completes.
     probing: bool,
+    /// Kept for work of higher priority, whether it is free yet or not.
+    reserved: Need,
+}
+
+impl Room {
+    fn fits(&self, need: &Need) -> bool {
+        let left = Need {
+            cpus: self.free.cpus - self.reserved.cpus,
+            gpus: self.free.gpus - self.reserved.gpus,
+            memory_gb: self.free.memory_gb - self.reserved.memory_gb,
+        };
+        left.holds(need)
+    }
 }
 
 struct Rank {
@@ -110,7 +126,8 @@
             match machine.free() {
                 Some(free) if !probing || machine.is_empty() => {
                     let (name, zone) = (machine.name.clone(), machine.zone.clone());
-                    rooms.push(Room { name, free, zone, probing });
+                    let reserved = Need { cpus: 0.0, gpus: 0.0, memory_gb: 0.0 };
+                    rooms.push(Room { name, free, zone, probing, reserved });
                 }
                 _ => {}
             }
@@ -121,6 +138,7 @@
         let mut usage = self.usage();
         for id in self.queue(&usage, now) {
             self.place_job(&id, &mut rooms, &mut usage, now);
+            self.reserve(&id, &mut rooms);
         }
         self.preempt(&mut usage, now);
     }
@@ -136,7 +154,7 @@
         for (n, room) in rooms.iter().enumerate() {
             let machine = &self.machines[&room.name];
             let failed = job.failed_on.contains(&room.name);
-            if machine.allows(&job.record.spec) && room.free.holds(&need) && !failed {
+            if machine.allows(&job.record.spec) && room.fits(&need) && !failed {
                 candidates.push(n);
             }
         }
@@ -160,7 +178,7 @@
             let cap = job.record.spec.zone_cap();
             candidates.retain(|&n| {
                 let room = &rooms[n];
-                room.free.holds(&need)
+                room.fits(&need)
                     && same_zone.as_ref().is_none_or(|zone| *zone == room.zone)
                     && zones.get(&room.zone).copied().unwrap_or(0) < cap
             });
@@ -212,6 +230,71 @@
         }
     }
 
+    /// Keeps room for the waiting tasks of an urgent job, on machines where it will come free
+    /// by itself: otherwise smaller tasks of less important jobs would fill each gap first.
+    fn reserve(&self, id: &JobId, rooms: &mut [Room]) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let spec = job.spec();
+        if spec.priority > Priority::High || spec.cpus <= 0.0 {
+            return;
+        }
+        let mut left = job.waiting();
+        let need = Need::of(spec);
+        let mut slots: Vec<(u32, f64, usize)> = Vec::new();
+        for (n, room) in rooms.iter().enumerate() {
+            let machine = &self.machines[&room.name];
+            if !machine.allows(spec) || room.probing {
+                continue;
+            }
+            let mut may = room.free;
+            for ((task, _), held) in &machine.held {
+                let lower =
+                    self.jobs.get(&task.job).is_some_and(|o| o.spec().priority > spec.priority);
+                if let (true, true, Some(n)) = (lower, held.takes_room(), &held.spec) {
+                    may.cpus += n.cpus;
+                    may.gpus += n.gpus;
+                    may.memory_gb += n.memory_gb;
+                }
+            }
+            let cpus = (may.cpus - room.reserved.cpus) / need.cpus;
+            let memory = match need.memory_gb > 0.0 {
+                true => (may.memory_gb - room.reserved.memory_gb) / need.memory_gb,
+                false => cpus,
+            };
+            let count = cpus.min(memory).floor();
+            if count >= 1.0 {
+                slots.push((count as u32, room.free.cpus, n));
+            }
+        }
+        slots.sort_by(|a, b| b.1.partial_cmp(&a.1).unwrap_or(Ordering::Equal));
+        for (count, _, n) in slots {
+            let count = count.min(left);
+            left -= count;
+            let reserved = &mut rooms[n].reserved;
+            reserved.cpus += need.cpus * f64::from(count);
+            reserved.gpus += need.gpus * f64::from(count);
+            reserved.memory_gb += need.memory_gb * f64::from(count);
+            if left == 0 {
+                return;
+            }
+        }
+    }
+
+    /// How long a job waits for room to come free by itself before others are stopped for it:
+    /// a part of what its class, or the guarantees, are to be served within.
+    fn patience(&self, job: &Job, guaranteed: bool) -> Duration {
+        let class = job.spec().class.as_str();
+        let within = |kind: &str| {
+            let of_kind = |o: &&corkfield_wire::settings::Objective| {
+                o.kind == kind && o.class.as_deref().is_none_or(|c| c == class)
+            };
+            self.config.objectives.iter().find(of_kind).and_then(|o| o.within_s)
+        };
+        let aims = [within("wait"), within("guarantee").filter(|_| guaranteed)];
+        let within = aims.into_iter().flatten().fold(25.0, f64::min);
+        Duration::try_from_secs_f64(within * PATIENCE).unwrap_or_default()
+    }
+
     /// Stops work of lower priority, or beyond its team's guarantee, for work that waits.
     fn preempt(&mut self, usage: &mut [Usage], now: Instant) {
         let silence = self.config.report_interval.mul_f64(2.0) + Duration::from_secs(1);
@@ -232,8 +315,9 @@
             let spec = job.spec().clone();
             let team = job.team;
             let one = Usage::of(&spec, 1);
-            let waited = now.saturating_duration_since(job.first_wait);
-            if waited < Duration::from_secs(1) {
+            let guaranteed = within_guarantee(&self.config.teams[team], usage[team].plus(one));
+            let waited = now.saturating_duration_since(job.accepted_at);
+            if waited < self.patience(job, guaranteed) {
                 continue;
             }
             let mut wanted = job.waiting();
