--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -12,6 +12,13 @@
 const HORIZON_S: f64 = 45.0;
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
 
+/// An ordinary machine that costs this many times a spot one is dear.
+const DEAR: f64 = 2.0;
+/// Dear machines go when the cheap ones have this many times their CPUs.
+const MOSTLY: f64 = 4.0;
+/// After dear machines went, none is rented for this long while spot ones can be had.
+const DEAR_PAUSE: Duration = Duration::from_secs(600);
+
 /// Machine type, zone, and whether it is a spot machine.
 type Offer = (String, String, bool);
 
@@ -20,11 +27,18 @@
     requests: u64,
     backoff: BTreeMap<Offer, (Instant, u32)>,
     under_way: BTreeMap<String, RentRequest>,
+    dear_until: Option<Instant>,
 }
 
 impl Renting {
     pub fn new(term: u64) -> Self {
-        Self { term, requests: 0, backoff: BTreeMap::new(), under_way: BTreeMap::new() }
+        Self {
+            term,
+            requests: 0,
+            backoff: BTreeMap::new(),
+            under_way: BTreeMap::new(),
+            dear_until: None,
+        }
     }
 }
 
@@ -75,9 +89,42 @@
         let (wide, spot_wide) = self.wanted_cpus();
         let supply = self.supply();
         self.rent(wide, spot_wide, supply, now);
+        self.return_dear(now);
         self.return_idle(wide, supply, now);
     }
 
+    /// Once most of the capacity is up at a far lower price, the dear rest is let go: its work
+    /// ends, and no new work comes.
+    fn return_dear(&mut self, now: Instant) {
+        let mut cheap = 0.0;
+        let mut dear = Vec::new();
+        let mut dear_cpus = 0.0;
+        for machine in self.machines.values() {
+            let Some(size) = &machine.size else { continue };
+            if machine.state() != MachineState::Up || machine.notice || machine.lapsed {
+                continue;
+            }
+            if machine.spot {
+                cheap += size.cpus;
+            } else if size.spot_price > 0.0 && size.price > DEAR * size.spot_price {
+                dear_cpus += size.cpus;
+                dear.push(machine.name.clone());
+            }
+        }
+        // Work that must not run on spot machines needs them.
+        let all_spot = self.jobs.values().all(|job| job.spec().spot);
+        if cheap < MOSTLY * dear_cpus || !all_spot || !self.is_complete() {
+            return;
+        }
+        for name in dear {
+            if let Some(machine) = self.machines.get_mut(&name) {
+                tracing::info!(machine = %name, "returning a dear machine");
+                machine.enter(MachineState::Draining);
+            }
+        }
+        self.renting.dear_until = Some(now + DEAR_PAUSE);
+    }
+
     /// CPUs that the unfinished work could use, in all and on spot machines.
     fn wanted_cpus(&self) -> (f64, f64) {
         let mut all = 0.0;
@@ -133,7 +180,10 @@
                     let under_way = self.renting.under_way.values().any(|r| {
                         (&r.machine_type, &r.zone, r.spot) == (&offer.0, &offer.1, offer.2)
                     });
-                    let useful = !spot || spot_want > 0.0;
+                    let dear = !spot
+                        && want <= spot_want
+                        && self.renting.dear_until.is_some_and(|until| now < until);
+                    let useful = if spot { spot_want > 0.0 } else { !dear };
                     if waits || under_way || !useful || !self.somebody_fits(kind, zone, spot) {
                         continue;
                     }
