--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -193,12 +193,15 @@
             }
         }
         offers.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
-        for (_, spot, kind, zone) in offers {
+        for n in 0..offers.len() {
             if missing <= 0.0 {
                 break;
             }
-            // Offers of the same price share the need, so that zones are mixed.
-            let count = (missing / kind.cpus.max(0.1) / 2.0).ceil().clamp(1.0, 8.0);
+            let (price, spot, kind, zone) = offers[n].clone();
+            // Offers of the same price share the need, all asked for at once: capacity shows
+            // only when it is refused, and the cloud takes few requests a second.
+            let alike = offers[n..].iter().take_while(|o| (o.0 - price).abs() < 1e-9).count();
+            let count = (missing / kind.cpus.max(0.1) / alike as f64).ceil().max(1.0);
             missing -= count * kind.cpus;
             self.renting.requests += 1;
             let request = RentRequest {
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -629,7 +629,7 @@
 
     async fn listing(&self) {
         let rps = self.node.settings.platform.params.cloud.rps;
-        let interval = Duration::from_secs_f64((3.0 / rps.max(0.1)).clamp(1.0, 10.0));
+        let interval = Duration::from_secs_f64((6.0 / rps.max(0.1)).clamp(2.0, 10.0));
         loop {
             let asked = now();
             match self.node.cloud.machines().await {
--- a/crates/corkfield/src/settings.rs
+++ b/crates/corkfield/src/settings.rs
@@ -42,7 +42,7 @@
             claim_batch: 4,
             claim_limit: 12,
             hold_s: 2.0,
-            idle_keep_s: 20.0,
+            idle_keep_s: 60.0,
             placement_sample: 64,
             max_jobs: 4000,
         }
