--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -47,6 +47,7 @@
     guaranteed: bool,
     priority: Priority,
     late: bool,
+    run_s: f64,
     work_s: f64,
     accepted: Instant,
 }
@@ -81,6 +82,7 @@
             guaranteed: within_guarantee(&self.config.teams[job.team], one),
             priority: job.spec().priority,
             late,
+            run_s,
             work_s: job.demand().cpus * run_s,
             accepted: job.accepted_at,
         }
@@ -100,6 +102,11 @@
                 .then(b.guaranteed.cmp(&a.guaranteed))
                 .then(a.priority.cmp(&b.priority))
                 .then(a.late.cmp(&b.late))
+                // What is late anyway should at least not end last of all: longest tasks first.
+                .then(match a.late {
+                    true => b.run_s.partial_cmp(&a.run_s).unwrap_or(Ordering::Equal),
+                    false => Ordering::Equal,
+                })
                 .then(a.work_s.partial_cmp(&b.work_s).unwrap_or(Ordering::Equal))
                 .then(a.accepted.cmp(&b.accepted))
         });
