--- a/crates/cloud/src/lib.rs
+++ b/crates/cloud/src/lib.rs
@@ -1,7 +1,7 @@
 //! The cloud's client, within a request budget.
 #![forbid(unsafe_code)]
 
-use corkfield_http::{Client, ClientError, Reply};
+use corkfield_http::{Client, ClientError, Network, Reply};
 use corkfield_state::{Budget, Use};
 use corkfield_wire::cloud::{
     ListedMachine, MachineList, MachineNames, MachineType, MachineTypes, RentRequest, MAX_LIST,
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 const MAX_BODY: usize = 1024 * 1024;
@@ -36,10 +37,10 @@
 }
 
 impl CloudClient {
-    pub fn new(addr: SocketAddr, rps: f64) -> Self {
+    pub fn new(network: Rc<dyn Network>, addr: SocketAddr, rps: f64) -> Self {
         // Two planners may overlap for a moment at a take-over, hence not the whole rate.
         let budget = Budget::new(rps * 0.7, rps);
-        Self { http: Client::new(addr, CONNECTIONS, MAX_BODY), budget }
+        Self { http: Client::new(network, addr, CONNECTIONS, MAX_BODY), budget }
     }
 
     async fn call<T: DeserializeOwned>(
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -203,6 +203,15 @@
         self.finished.extend(stored);
     }
 
+    /// The job failed wherever it was tried: it waits, the longer the more often it failed.
+    pub(crate) fn back_off(&mut self, now: Instant) {
+        if self.may_start() {
+            let wait_s = 2f64.powi(self.record.claims.clamp(1, 6) as i32);
+            tracing::info!(job = %self.record.spec.id, wait_s, "job fails on several machines");
+            self.enter(JobState::BackingOff(now + Duration::from_secs_f64(wait_s)));
+        }
+    }
+
     /// Claimed once more after a back-off.
     pub(crate) fn reclaimed(&mut self, record: JobRecord, version: u64, now: Instant) {
         let state = if record.set_aside { JobState::SetAside } else { JobState::Active };
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -369,7 +369,9 @@
                     let ran = now.saturating_duration_since(held.since).as_secs_f64();
                     let run_s = other.expected_run_s(self.correction(&other.spec().class));
                     let running = held.state == HeldState::Running;
-                    if running && run_s - ran < NEARLY_DONE_S {
+                    // A task far beyond its expected time tells nothing about its end.
+                    let overdue = ran > run_s * 1.3;
+                    if running && run_s - ran < NEARLY_DONE_S && !overdue {
                         continue;
                     }
                     let saves = running && other.spec().checkpoint_s > 0.0;
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -586,10 +586,8 @@
                         machine.failed_jobs.push(id.to_owned());
                     }
                 }
-                if job.failed_on.len() >= 3 && job.may_start() {
-                    let wait = 2f64.powi(i32::try_from(job.failures.min(6)).unwrap_or(6));
-                    job.enter(JobState::BackingOff(now + Duration::from_secs_f64(wait)));
-                    tracing::info!(job = %task.task.job, wait_s = wait, "job fails on several machines");
+                if job.failed_on.len() >= 3 {
+                    job.back_off(now);
                 }
                 let proven =
                     machine.failed_jobs.len() >= 2 || (machine.failures >= 2 && job.runs.0 > 0);
@@ -840,6 +838,15 @@
                 job.enter(JobState::Lapsed);
             }
             job.running = 0;
+            // A job that failed on every machine there is would otherwise wait for ever.
+            let untried = |m: &Machine| {
+                m.state() == MachineState::Up
+                    && m.allows(&job.record.spec)
+                    && !job.failed_on.contains(&m.name)
+            };
+            if !job.failed_on.is_empty() && !self.machines.values().any(untried) {
+                job.back_off(now);
+            }
         }
         let mut running: BTreeMap<&JobId, u32> = BTreeMap::new();
         for machine in self.machines.values() {
--- a/crates/corkfield/src/follow.rs
+++ b/crates/corkfield/src/follow.rs
@@ -29,6 +29,7 @@
     pub controllers: BTreeMap<String, (Presence, u64)>,
     pub knocks: BTreeMap<String, Instant>,
     pub planner: Option<(PlannerRecord, u64)>,
+    planner_since: Option<Instant>,
     pub types: Option<Vec<MachineType>>,
     finals: HashMap<JobId, FinalRecord>,
     finals_order: VecDeque<JobId>,
@@ -66,6 +67,7 @@
             }
         } else if key == PLANNER {
             self.planner = read(key, value).map(|record| (record, version));
+            self.planner_since = Some(now());
         } else if key == TYPES {
             self.types = read::<TypesRecord>(key, value).map(|record| record.types);
         }
@@ -148,6 +150,11 @@
         self.proof.get().map_or(OUT_OF_REACH, |at| now().saturating_duration_since(at))
     }
 
+    pub fn planner_known_for(&self) -> Duration {
+        let since = self.cache.borrow().planner_since;
+        since.map_or(Duration::ZERO, |at| now().saturating_duration_since(at))
+    }
+
     fn prove(&self, begun: Instant) {
         self.proof.set(self.proof.get().max(Some(begun)));
     }
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -26,6 +26,9 @@
 /// Other controllers leave the named successor this long to take over.
 const SUCCESSOR_HEAD_START: Duration = Duration::from_secs(2);
 
+/// A planner known for this long has heard from all workers that reach it.
+const SETTLED: Duration = Duration::from_secs(10);
+
 type Shared = Rc<RefCell<Planner>>;
 
 #[derive(Default)]
@@ -38,7 +41,7 @@
     parked: RefCell<HashMap<String, Rc<Notify>>>,
     outbid: Cell<u64>,
     last_report: Cell<Option<Instant>>,
-    knocks: RefCell<HashMap<String, Instant>>,
+    knocks: Cell<u64>,
     knocking: Cell<bool>,
 }
 
@@ -84,13 +87,11 @@
         }
     }
 
-    /// A worker came here although it had been sent to the planner before: it may be that the
-    /// planner can't be reached.
-    pub fn knocked(&self, machine: &str) {
-        let mut knocks = self.knocks.borrow_mut();
-        let at = now();
-        knocks.retain(|_, before| at.saturating_duration_since(*before) < Duration::from_secs(10));
-        if knocks.insert(machine.to_owned(), at).is_some() || knocks.len() > 3 {
+    /// A worker came here although the planner has been known for a while: it may be that the
+    /// planner can't be reached. Workers that only look for a new planner are no such sign.
+    pub fn knocked(&self, planner_for: Duration) {
+        if planner_for > SETTLED {
+            self.knocks.set(self.knocks.get() + 1);
             self.knocking.set(true);
         }
     }
@@ -140,7 +141,7 @@
 /// Tells the planner, through the store, that workers come here instead.
 async fn knock(node: &Node) {
     if node.leader.knocking.take() {
-        let count = node.leader.knocks.borrow().len() as u64;
+        let count = node.leader.knocks.get();
         let value = serde_json::to_value(Knock { count }).unwrap_or_default();
         let txn = Txn::default().put(knock_key(&node.name), value);
         let _ = node.state.txn(Use::Housekeeping, &txn).await;
@@ -189,7 +190,7 @@
         tokio::time::sleep(SUCCESSOR_HEAD_START).await;
     } else {
         // Not all at once.
-        tokio::time::sleep(Duration::from_millis(rand::random_range(0..60))).await;
+        node.pause(0..60).await;
     }
     let term = old.map_or(0, |record| record.term).max(node.leader.outbid.get()) + 1;
     let record = PlannerRecord {
@@ -218,7 +219,7 @@
 }
 
 async fn plan(node: &Rc<Node>, me: &Current, version: u64, term: u64) -> End {
-    let seed = rand::random();
+    let seed = node.random();
     let planner = Planner::new(node.settings.planner_config(), term, seed);
     let planning = Planning {
         node,
@@ -319,7 +320,10 @@
             .last_report
             .get()
             .map_or(Duration::ZERO, |at| now().saturating_duration_since(at));
-        if quiet < Duration::from_secs(5) || !self.node.leader.is_ready() {
+        let workers = &self.node.settings.platform.params.workers;
+        if quiet < workers.report_interval().mul_f64(1.5) + Duration::from_secs(1)
+            || !self.node.leader.is_ready()
+        {
             return false;
         }
         let successor = {
@@ -416,7 +420,7 @@
             },
             Err(error) => {
                 tracing::debug!(%error, "claim failed");
-                tokio::time::sleep(Duration::from_millis(rand::random_range(50..150))).await;
+                self.node.pause(50..150).await;
                 return false;
             }
         };
@@ -738,7 +742,7 @@
     for _ in 0..2 {
         let term = planner.borrow().term();
         let body = serde_json::to_vec(&DirectOrders { term, session, orders: orders.clone() });
-        let client = Client::new(addr, 1, 256 * 1024);
+        let client = Client::new(node.network.clone(), addr, 1, 256 * 1024);
         let body = body.unwrap_or_default();
         let reply = match client.request("POST", PATH_COMMANDS, &body, DIRECT_TIMEOUT).await {
             Ok(reply) => reply,
--- /dev/null
+++ b/crates/corkfield/src/lib.rs
@@ -0,0 +1,11 @@
+//! A controller: settings, wiring, and everything that needs I/O.
+#![forbid(unsafe_code)]
+
+mod follow;
+mod leader;
+pub mod node;
+mod peers;
+mod presence;
+pub mod settings;
+mod users;
+mod workers;
--- a/crates/corkfield/src/main.rs
+++ b/crates/corkfield/src/main.rs
@@ -1,19 +1,13 @@
 //! corkfield: a cluster scheduler.
 #![forbid(unsafe_code)]
 
-mod follow;
-mod leader;
-mod node;
-mod peers;
-mod presence;
-mod settings;
-mod users;
-mod workers;
-
 use clap::{Parser, Subcommand};
-use settings::Settings;
+use corkfield::node;
+use corkfield::settings::{self, Settings};
+use corkfield_http::Tcp;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
 
 /// A cluster scheduler: controllers that claim jobs from a state service under a lease, rent
 /// machines and run the jobs' tasks on them.
@@ -74,7 +68,7 @@
         }
     };
     let local = tokio::task::LocalSet::new();
-    match local.block_on(&runtime, node::run(settings)) {
+    match local.block_on(&runtime, node::run(settings, Rc::new(Tcp), rand::random())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("corkfield: {error}");
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -7,16 +7,21 @@
 use crate::settings::Settings;
 use crate::{follow, leader, peers, presence, users, workers};
 use corkfield_cloud::CloudClient;
-use corkfield_http::{serve, Limits, Request, Response};
+use corkfield_http::{serve, Limits, Listener, Network, Request, Response};
 use corkfield_state::StateClient;
 use corkfield_wire::user::{ErrorView, JobId, PATH_CANCEL, PATH_JOBS, PATH_READY};
 use corkfield_wire::worker::PATH_REPORT;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use serde::Serialize;
+use std::cell::RefCell;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
 
 pub struct Node {
+    pub network: Rc<dyn Network>,
+    rng: RefCell<SmallRng>,
     pub settings: Settings,
     pub name: String,
     pub state: StateClient,
@@ -44,11 +49,26 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-async fn listen(addr: std::net::SocketAddr) -> Result<TcpListener, RunError> {
+impl Node {
+    /// A random wait, so that controllers don't all try again at once.
+    pub async fn pause(&self, ms: Range<u64>) {
+        let ms = self.rng.borrow_mut().random_range(ms);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    }
+
+    pub fn random(&self) -> u64 {
+        self.rng.borrow_mut().random()
+    }
+}
+
+async fn listen(
+    network: &dyn Network,
+    addr: std::net::SocketAddr,
+) -> Result<Box<dyn Listener>, RunError> {
     // A restarted process may find its address still taken for a moment.
     let mut tries = 0;
     loop {
-        match TcpListener::bind(addr).await {
+        match network.listen(addr).await {
             Ok(listener) => return Ok(listener),
             Err(error) if tries >= 20 => return Err(RunError::Listen { addr, error }),
             Err(_) => {
@@ -59,17 +79,25 @@
     }
 }
 
-pub async fn run(settings: Settings) -> Result<(), RunError> {
+/// Runs a controller; returns only if it can't start.
+pub async fn run(settings: Settings, network: Rc<dyn Network>, seed: u64) -> Result<(), RunError> {
     let platform = settings.platform.clone();
     let params = &platform.params;
     let sockets =
         if params.limits.max_connections == 0 { 900 } else { params.limits.max_connections };
-    let users_listener = listen(platform.listen).await?;
-    let peers_listener = listen(platform.peer_listen).await?;
+    let users_listener = listen(&*network, platform.listen).await?;
+    let peers_listener = listen(&*network, platform.peer_listen).await?;
     let node = Rc::new(Node {
         name: platform.node.clone(),
-        state: StateClient::new(platform.endpoints.state, params.state.rps, params.state.write_rps),
-        cloud: CloudClient::new(platform.endpoints.cloud, params.cloud.rps),
+        state: StateClient::new(
+            network.clone(),
+            platform.endpoints.state,
+            params.state.rps,
+            params.state.write_rps,
+        ),
+        cloud: CloudClient::new(network.clone(), platform.endpoints.cloud, params.cloud.rps),
+        network,
+        rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         follower: Follower::default(),
         presence: Presence::default(),
         leader: Leader::default(),
--- a/crates/corkfield/src/peers.rs
+++ b/crates/corkfield/src/peers.rs
@@ -1,6 +1,7 @@
 //! The link between controllers.
 
 use crate::node::{now, Node};
+use corkfield_http::{Listener, Stream};
 use corkfield_wire::peer::{Frame, Hello, MAX_FRAME};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -8,7 +9,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -35,24 +35,24 @@
     }
 }
 
-pub async fn listen(node: Rc<Node>, listener: TcpListener) {
+pub async fn listen(node: Rc<Node>, listener: Box<dyn Listener>) {
     let links = Rc::new(());
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if Rc::strong_count(&links) <= MAX_LINKS => {
+            Ok(stream) if Rc::strong_count(&links) <= MAX_LINKS => {
                 let (node, link) = (node.clone(), links.clone());
                 tokio::task::spawn_local(async move {
                     let _link = link;
                     hear(&node, stream).await;
                 });
             }
-            Ok((stream, _)) => drop(stream),
+            Ok(stream) => drop(stream),
             Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
         }
     }
 }
 
-async fn hear(node: &Node, mut stream: TcpStream) {
+async fn hear(node: &Node, mut stream: Stream) {
     while let Ok(Ok(frame)) = timeout(SILENCE * 2, read_frame(&mut stream)).await {
         match frame {
             Some(Frame::Hello(hello)) => node.peers.hear(hello),
@@ -61,7 +61,7 @@
     }
 }
 
-async fn read_frame(stream: &mut TcpStream) -> std::io::Result<Option<Frame>> {
+async fn read_frame(stream: &mut Stream) -> std::io::Result<Option<Frame>> {
     let length = stream.read_u32_le().await? as usize;
     if length > MAX_FRAME {
         tracing::debug!(length, "oversized frame from a peer");
@@ -81,7 +81,7 @@
 /// Tells a peer how we are, again and again.
 pub async fn talk(node: Rc<Node>, addr: SocketAddr) {
     loop {
-        if let Ok(Ok(mut stream)) = timeout(INTERVAL * 2, TcpStream::connect(addr)).await {
+        if let Ok(Ok(mut stream)) = timeout(INTERVAL * 2, node.network.connect(addr)).await {
             loop {
                 let bytes = Frame::Hello(hello(&node)).encode();
                 match timeout(INTERVAL * 2, stream.write_all(&bytes)).await {
--- a/crates/corkfield/src/presence.rs
+++ b/crates/corkfield/src/presence.rs
@@ -58,8 +58,7 @@
             }
             Err(error) => {
                 tracing::debug!(%error, "can't take a lease");
-                let jitter = rand::random_range(100..400);
-                tokio::time::sleep(Duration::from_millis(jitter)).await;
+                node.pause(100..400).await;
             }
         }
     }
@@ -78,7 +77,7 @@
     let found = node.state.get(Use::Lease, &key).await?;
     let begun = now();
     let lease = node.state.grant(ttl).await?;
-    let incarnation = format!("{}-{:08x}", node.name, rand::random::<u32>());
+    let incarnation = format!("{}-{:08x}", node.name, node.random() as u32);
     let record = Record { incarnation: incarnation.clone(), lease };
     let value = serde_json::to_value(&record).unwrap_or_default();
     let version = found.map_or(0, |item| item.version);
--- a/crates/corkfield/src/users.rs
+++ b/crates/corkfield/src/users.rs
@@ -124,7 +124,7 @@
                 };
             }
             Err(StateError::NoAnswer(_) | StateError::Refused(429)) => {
-                tokio::time::sleep(Duration::from_millis(rand::random_range(50..150))).await;
+                node.pause(50..150).await;
             }
             Err(error) => {
                 tracing::debug!(job = %id, %error, "can't store a submission");
@@ -160,7 +160,7 @@
                 Err(
                     StateError::Conflict(_) | StateError::NoAnswer(_) | StateError::Refused(429),
                 ) => {
-                    tokio::time::sleep(Duration::from_millis(rand::random_range(5..50))).await;
+                    node.pause(5..50).await;
                 }
                 Err(error) => {
                     tracing::debug!(job = %id, %error, "can't store a cancellation");
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -18,7 +18,7 @@
         let _ = tokio::time::timeout(TAKE_OVER_WAIT, node.leader.until_ready()).await;
     }
     let Some(planner) = node.leader.planner() else {
-        return redirect(node, &report);
+        return redirect(node);
     };
     // S6: without fresh state a cancellation may have been missed; the machines' leases have
     // to run out while there is time.
@@ -45,7 +45,7 @@
     // The planner may have changed while the answer was held back.
     let same = node.leader.planner().is_some_and(|p| std::rc::Rc::ptr_eq(&p, &planner));
     if !same || node.follower.proof_age() >= node.settings.answer_limit() {
-        return redirect(node, &report);
+        return redirect(node);
     }
     let may_start = node.presence.is_valid();
     let mut planner = planner.borrow_mut();
@@ -55,7 +55,7 @@
 }
 
 /// Sends the worker to the planner, if that is another controller that is there.
-fn redirect(node: &Node, report: &Report) -> Response {
+fn redirect(node: &Node) -> Response {
     let cache = node.follower.cache.borrow();
     let report_to = cache.planner.as_ref().and_then(|(record, _)| {
         let name = record.node.clone().filter(|name| *name != node.name)?;
@@ -64,7 +64,7 @@
     });
     drop(cache);
     if report_to.is_some() {
-        node.leader.knocked(&report.machine);
+        node.leader.knocked(node.follower.planner_known_for());
     }
     json(421, &Redirect { report_to })
 }
--- /dev/null
+++ b/crates/corkfield/tests/stories.rs
@@ -0,0 +1,511 @@
+//! Whole controllers against in-memory stand-ins, in simulated time.
+
+mod world;
+
+use corkfield_fakes::{Fault, Plan};
+use corkfield_wire::records::{final_key, job_key};
+use corkfield_wire::store::PATH_TXN;
+use corkfield_wire::user::{JobView, PATH_JOBS, PATH_READY};
+use corkfield_wire::{JobStatus, Priority};
+use std::cell::Cell;
+use world::{secs, spec, story, task, CANCEL_S, LEASE_S, NODES};
+
+#[test]
+fn jobs_are_run_and_done_and_stay_done() {
+    story(2, |world| async move {
+        let jobs = [spec(1, 20), spec(2, 3)];
+        for job in &jobs {
+            assert_eq!(world.submit(job, 3.0).await, 201);
+            assert_eq!(world.submit(job, 3.0).await, 200, "a repeat is known");
+        }
+        for job in &jobs {
+            world.until_done(&job.id, 60.0).await;
+            assert_eq!(world.submit(job, 3.0).await, 200);
+            assert!(world.record(&job.id).is_none(), "only a small final record is kept");
+            assert!(world.store.get(&final_key(&job.id)).is_some());
+        }
+        // Machines that nobody needs are returned in the end.
+        secs(120.0).await;
+        assert!(world.cloud.workers().is_empty());
+    });
+}
+
+#[test]
+fn one_of_three_wins_the_planner_record_and_each_job_is_claimed_once() {
+    story(1, |world| async move {
+        assert_eq!(world.planner().expect("somebody plans").1, 1, "one claim, one term");
+        let job = spec(1, 4);
+        world.submit(&job, 20.0).await;
+        secs(3.0).await;
+        let record = world.record(&job.id).expect("unfinished");
+        assert_eq!((record.generation, record.claims), (1, 1));
+    });
+}
+
+#[test]
+fn after_a_crash_of_all_controllers_tasks_go_on_where_they_were() {
+    story(2, |world| async move {
+        let job = spec(1, 12);
+        world.submit(&job, 25.0).await;
+        secs(6.0).await;
+        assert_eq!(world.ledger.running(&job.id), 12);
+        for n in 0..NODES.len() {
+            world.kill(n);
+        }
+        secs(2.0).await;
+        for n in 0..NODES.len() {
+            world.start(n);
+        }
+        world.until_done(&job.id, 60.0).await;
+        for index in 0..12 {
+            assert_eq!(world.ledger.started(&task(&job, index)), 1, "nothing was started again");
+        }
+    });
+}
+
+#[test]
+fn a_restarted_owner_is_fenced_and_its_late_settling_write_is_refused() {
+    story(2, |world| async move {
+        let job = spec(1, 8);
+        world.submit(&job, 12.0).await;
+        secs(8.0).await;
+        let first = world.record(&job.id).expect("unfinished");
+        // The settling write is under way when its writer dies; it arrives much later.
+        let key = job_key(&job.id);
+        world.store.set_faults(move |request| {
+            let settles =
+                request.path() == PATH_TXN && String::from_utf8_lossy(&request.body).contains(&key);
+            if settles {
+                Fault::Late(15.0)
+            } else {
+                Fault::None
+            }
+        });
+        secs(8.0).await;
+        world.store.clear_faults();
+        let planner = world.planner_node();
+        world.restart(planner, 0.3).await;
+        world.until_done(&job.id, 60.0).await;
+        secs(20.0).await;
+        assert_eq!(world.status(&job.id).await, Some(JobStatus::Done));
+        assert!(world.record(&job.id).is_none(), "the late write brought nothing back");
+        assert_eq!(first.generation, 1);
+    });
+}
+
+#[test]
+fn a_take_over_waits_for_a_hung_machine_until_its_lease_has_surely_lapsed() {
+    story(2, |world| async move {
+        let job = spec(1, 16);
+        world.submit(&job, 15.0).await;
+        secs(5.0).await;
+        let hung = world.ledger.machine_of(&task(&job, 0)).expect("running");
+        let worker = world.cloud.worker(&hung).expect("a worker");
+        worker.set_hung(true);
+        secs(1.0).await;
+        let planner = world.planner_node();
+        world.restart(planner, 1.0).await;
+        secs(LEASE_S - 4.0).await;
+        assert_eq!(
+            world.ledger.machine_of(&task(&job, 0)),
+            Some(hung),
+            "still there, for all we know"
+        );
+        // It resumes within its lease, and goes on.
+        worker.set_hung(false);
+        world.until_done(&job.id, 90.0).await;
+    });
+}
+
+#[test]
+fn a_machine_that_hangs_for_long_loses_its_tasks_to_another() {
+    story(2, |world| async move {
+        let job = spec(1, 10);
+        world.submit(&job, 20.0).await;
+        secs(5.0).await;
+        let hung = world.ledger.machine_of(&task(&job, 0)).expect("running");
+        let worker = world.cloud.worker(&hung).expect("a worker");
+        worker.set_hung(true);
+        secs(LEASE_S + 1.0).await;
+        // Its worker still holds the tasks, but its lease is over: it forgets them when it wakes.
+        worker.set_hung(false);
+        world.until_done(&job.id, 120.0).await;
+        assert!(worker.session() > 1);
+    });
+}
+
+#[test]
+fn a_planner_that_alone_is_refused_by_the_store_is_replaced_and_starts_nothing() {
+    story(3, |world| async move {
+        let job = spec(1, 24);
+        world.submit(&job, 30.0).await;
+        secs(5.0).await;
+        let (old, term) = world.planner().expect("somebody plans");
+        world.refused[old].set(true);
+        secs(20.0).await;
+        let (new, new_term) = world.planner().expect("somebody plans");
+        assert!(new != old && new_term > term);
+        let next = spec(2, 6);
+        world.submit(&next, 3.0).await;
+        let (ready, _) = world.ask(old, "GET", PATH_READY, b"").await.expect("an answer");
+        assert_eq!(ready, 503, "users are sent to those who have the store");
+        world.until_done(&job.id, 90.0).await;
+        world.refused[old].set(false);
+        world.until_done(&next.id, 90.0).await;
+        for index in 0..24 {
+            assert_eq!(world.ledger.started(&task(&job, index)), 1);
+        }
+    });
+}
+
+#[test]
+fn a_planner_that_no_worker_reaches_hands_over() {
+    story(2, |world| async move {
+        let job = spec(1, 10);
+        world.submit(&job, 25.0).await;
+        secs(5.0).await;
+        let old = world.planner_node();
+        let machines: Vec<String> =
+            world.cloud.workers().iter().map(|w| w.settings.name.clone()).collect();
+        for machine in &machines {
+            world.net.cut(NODES[old], machine);
+        }
+        secs(LEASE_S).await;
+        assert_ne!(world.planner_node(), old);
+        world.until_done(&job.id, 60.0).await;
+        for index in 0..10 {
+            assert_eq!(world.ledger.started(&task(&job, index)), 1, "no lease ran out");
+        }
+        // What the cut held back arrives now, and does no harm.
+        for machine in &machines {
+            world.net.heal(NODES[old], machine);
+        }
+        let next = spec(2, 10);
+        world.submit(&next, 3.0).await;
+        world.until_done(&next.id, 60.0).await;
+    });
+}
+
+#[test]
+fn a_short_outage_of_the_store_stops_no_task_and_a_long_one_loses_no_job() {
+    story(2, |world| async move {
+        let short = spec(1, 12);
+        world.submit(&short, 20.0).await;
+        secs(4.0).await;
+        world.store.set_down(true);
+        secs(9.0).await;
+        world.store.set_down(false);
+        world.until_done(&short.id, 60.0).await;
+        for index in 0..12 {
+            assert_eq!(world.ledger.started(&task(&short, index)), 1);
+        }
+        let long = spec(2, 12);
+        world.submit(&long, 60.0).await;
+        secs(5.0).await;
+        world.store.set_down(true);
+        secs(45.0).await;
+        assert_eq!(world.ledger.running(&long.id), 0, "without fresh state, leases run out (S6)");
+        world.store.set_down(false);
+        world.until_done(&long.id, 150.0).await;
+    });
+}
+
+#[test]
+fn lost_answers_to_commits_neither_lose_nor_double_anything() {
+    story(2, |world| async move {
+        let count = Cell::new(0);
+        world.store.set_faults(move |request| {
+            count.set(count.get() + 1);
+            let lost = request.path() == PATH_TXN && count.get() % 4 == 0;
+            if lost {
+                Fault::LoseAnswer
+            } else {
+                Fault::None
+            }
+        });
+        let jobs: Vec<_> = (1..6).map(|n| spec(n, 6)).collect();
+        for job in &jobs {
+            let status = world.submit(job, 4.0).await;
+            assert!(status == 200 || status == 201, "{status}");
+        }
+        for job in &jobs {
+            world.until_done(&job.id, 150.0).await;
+        }
+    });
+}
+
+#[test]
+fn transactions_that_are_carried_out_late_do_no_harm() {
+    story(2, |world| async move {
+        let count = Cell::new(0);
+        world.store.set_faults(move |request| {
+            count.set(count.get() + 1);
+            let late = request.path() == PATH_TXN && count.get() % 5 == 0;
+            if late {
+                Fault::Late(7.0)
+            } else {
+                Fault::None
+            }
+        });
+        let jobs: Vec<_> = (1..6).map(|n| spec(n, 6)).collect();
+        for job in &jobs {
+            world.submit(job, 4.0).await;
+        }
+        let planner = world.planner_node();
+        world.restart(planner, 0.3).await;
+        for job in &jobs {
+            world.until_done(&job.id, 200.0).await;
+        }
+    });
+}
+
+#[test]
+fn a_cancellation_meets_an_order_in_flight() {
+    story(2, |world| async move {
+        for number in 1..8 {
+            let job = spec(number, 8);
+            world.submit(&job, 40.0).await;
+            secs(0.3 * f64::from(number)).await;
+            assert_eq!(world.cancel(&job.id).await, Some(JobStatus::Cancelled));
+            for n in 0..NODES.len() {
+                let path = format!("{PATH_JOBS}/{}", job.id);
+                let (status, body) = world.ask(n, "GET", &path, b"").await.expect("an answer");
+                let view: JobView = serde_json::from_slice(&body).expect("a view");
+                assert_eq!((status, view.status), (200, JobStatus::Cancelled), "no older answer");
+            }
+        }
+        secs(CANCEL_S).await;
+        for number in 1..8 {
+            assert_eq!(world.ledger.running(&spec(number, 8).id), 0);
+        }
+    });
+}
+
+#[test]
+fn a_cancellation_is_kept_while_the_reporting_controller_is_cut_off_from_everything_but_workers() {
+    story(2, |world| async move {
+        let job = spec(1, 12);
+        world.submit(&job, 200.0).await;
+        secs(5.0).await;
+        let old = world.planner_node();
+        // It answers workers, but hears of nothing; and nobody else reaches the workers.
+        for other in ["state", "cloud", "user"].into_iter().chain(NODES) {
+            world.net.cut(NODES[old], other);
+        }
+        for n in (0..NODES.len()).filter(|n| *n != old) {
+            for worker in world.cloud.workers() {
+                world.net.cut(NODES[n], &worker.settings.name);
+            }
+        }
+        assert_eq!(world.cancel(&job.id).await, Some(JobStatus::Cancelled));
+        secs(CANCEL_S + 5.0).await;
+        assert_eq!(world.ledger.running(&job.id), 0);
+    });
+}
+
+#[test]
+fn a_limit_is_held_through_a_take_over() {
+    story(3, |world| async move {
+        let mut jobs = Vec::new();
+        for number in 1..4 {
+            let mut job = spec(number, 5);
+            job.team = "capped".to_owned();
+            world.submit(&job, 9.0).await;
+            jobs.push(job);
+        }
+        secs(4.0).await;
+        for _ in 0..2 {
+            let planner = world.planner_node();
+            world.restart(planner, 0.5).await;
+            secs(7.0).await;
+        }
+        for job in &jobs {
+            world.until_done(&job.id, 150.0).await;
+        }
+    });
+}
+
+#[test]
+fn a_rental_without_an_answer_is_found_and_used() {
+    story(1, |world| async move {
+        world.cloud.capacity.set(4);
+        world.cloud.lose_answers.set(true);
+        let mut job = spec(1, 32);
+        job.estimate_s = 60.0;
+        world.submit(&job, 60.0).await;
+        secs(25.0).await;
+        world.cloud.lose_answers.set(false);
+        assert!(world.cloud.workers().len() > 1, "machines came up all the same");
+        assert!(world.ledger.running(&job.id) > 8, "and are used");
+        world.until_done(&job.id, 150.0).await;
+    });
+}
+
+#[test]
+fn machines_taken_without_notice_lose_no_job() {
+    story(3, |world| async move {
+        let job = spec(1, 24);
+        world.submit(&job, 12.0).await;
+        secs(6.0).await;
+        let victims: Vec<String> =
+            world.cloud.workers().iter().take(2).map(|w| w.settings.name.clone()).collect();
+        for name in &victims {
+            world.cloud.take(name);
+        }
+        world.until_done(&job.id, 120.0).await;
+    });
+}
+
+#[test]
+fn a_sick_machine_is_returned_and_a_broken_job_is_set_aside_without_blaming_machines() {
+    story(3, |world| async move {
+        let workers = world.cloud.workers();
+        workers[0].sick.set(true);
+        let jobs = [spec(1, 20), spec(2, 20)];
+        for job in &jobs {
+            world.submit(job, 4.0).await;
+        }
+        for job in &jobs {
+            world.until_done(&job.id, 90.0).await;
+        }
+        assert!(workers[0].dead.get(), "the sick machine was returned");
+        let broken = spec(3, 4);
+        world.submit_plan(Plan { spec: broken.clone(), run_s: 1.0, broken: true }).await;
+        let good = spec(4, 400);
+        world.submit(&good, 4.0).await;
+        secs(30.0).await;
+        assert_eq!(world.status(&broken.id).await, Some(JobStatus::Queued));
+        let claims = world.record(&broken.id).expect("unfinished").claims;
+        assert!(claims >= 2, "failing claims are counted: {claims}");
+        world.until_done(&good.id, 300.0).await;
+    });
+}
+
+#[test]
+fn a_job_at_the_claim_limit_is_set_aside_and_can_be_released_or_cancelled() {
+    story(2, |world| async move {
+        let broken = spec(1, 2);
+        world.submit_plan(Plan { spec: broken.clone(), run_s: 1.0, broken: true }).await;
+        let mut waited = 0;
+        while !world.record(&broken.id).is_some_and(|r| r.set_aside) {
+            secs(20.0).await;
+            waited += 1;
+            assert!(waited < 120, "never set aside: {:?}", world.record(&broken.id));
+        }
+        assert_eq!(world.record(&broken.id).expect("kept").claims, 13);
+        assert_eq!(world.status(&broken.id).await, Some(JobStatus::Queued), "never a final state");
+        let release = format!("/operator/release/{}", broken.id);
+        assert_eq!(world.ask(0, "POST", &release, b"").await.map(|r| r.0), Some(200));
+        secs(5.0).await;
+        assert!(!world.record(&broken.id).expect("kept").set_aside);
+        assert_eq!(world.cancel(&broken.id).await, Some(JobStatus::Cancelled));
+    });
+}
+
+#[test]
+fn urgent_work_takes_room_from_idle_work() {
+    story(1, |world| async move {
+        world.cloud.capacity.set(1);
+        let mut low = spec(1, 8);
+        low.priority = Priority::Low;
+        world.submit(&low, 300.0).await;
+        secs(5.0).await;
+        assert_eq!(world.ledger.running(&low.id), 8);
+        let mut urgent = spec(2, 2);
+        urgent.priority = Priority::High;
+        urgent.cpus = 4.0;
+        world.submit(&urgent, 5.0).await;
+        world.until_done(&urgent.id, 40.0).await;
+    });
+}
+
+#[test]
+fn a_job_of_a_hundred_thousand_tasks_stays_within_the_limits_and_survives_a_take_over() {
+    story(4, |world| async move {
+        let mut job = spec(1, 100_000);
+        job.cpus = 0.1;
+        job.memory_gb = 0.1;
+        assert_eq!(world.submit(&job, 0.4).await, 201);
+        secs(40.0).await;
+        let before = world.record(&job.id).expect("unfinished").done;
+        let planner = world.planner_node();
+        world.restart(planner, 0.3).await;
+        secs(20.0).await;
+        let after = world.record(&job.id).expect("unfinished").done;
+        assert!(before > 500 && after > before, "{before} then {after}");
+        assert!(world.store.largest_value() < 16 * 1024);
+        assert!(world.store.most_ops() <= 12);
+        assert_eq!(world.cancel(&job.id).await, Some(JobStatus::Cancelled));
+        secs(CANCEL_S).await;
+    });
+}
+
+#[test]
+fn bad_input_is_refused_and_known_ids_are_recognised_first() {
+    story(1, |world| async move {
+        let good = spec(1, 2);
+        world.submit(&good, 2.0).await;
+        let as_json = |f: &dyn Fn(&mut serde_json::Value)| {
+            let mut value = serde_json::to_value(spec(2, 2)).expect("serializable");
+            f(&mut value);
+            serde_json::to_vec(&value).expect("serializable")
+        };
+        let cases: Vec<(Vec<u8>, u16)> = vec![
+            (b"{".to_vec(), 400),
+            (b"[1]".to_vec(), 400),
+            (b"\xff\xfe".to_vec(), 400),
+            (as_json(&|v| v["name_id"] = "x-1".into()), 400),
+            (as_json(&|v| v["pieces"] = 0.into()), 400),
+            (as_json(&|v| v["pieces"] = 100_001.into()), 400),
+            (as_json(&|v| v["pieces"] = "3".into()), 400),
+            (as_json(&|v| v["vcpus"] = (-1.0).into()), 400),
+            (as_json(&|v| v["shape"] = "standing".into()), 400),
+            (as_json(&|v| v["rank"] = "highest".into()), 400),
+            (as_json(&|v| v["flavours"] = serde_json::json!([])), 400),
+            (as_json(&|v| drop(v.as_object_mut().map(|o| o.remove("guess_s")))), 400),
+            (as_json(&|v| v["owner"] = "nobody".into()), 422),
+            (as_json(&|v| v["vcpus"] = 9.0.into()), 422),
+            (as_json(&|v| v["site"] = "z9".into()), 422),
+            (as_json(&|v| v["flavours"] = serde_json::json!(["huge"])), 422),
+            (as_json(&|v| (v["owner"], v["vcpus"]) = ("capped".into(), 7.0.into())), 422),
+            (as_json(&|v| v["unknown_field"] = 1.into()), 201),
+        ];
+        for (body, expected) in cases {
+            let text = String::from_utf8_lossy(&body).into_owned();
+            let answer = world.ask(1, "POST", PATH_JOBS, &body).await.map(|r| r.0);
+            assert_eq!(answer, Some(expected), "{text}");
+        }
+        // S2: an accepted job's id is never refused, whatever comes with it.
+        let bad = format!("{{\"name_id\":\"{}\"}}", good.id);
+        assert_eq!(world.ask(2, "POST", PATH_JOBS, bad.as_bytes()).await.map(|r| r.0), Some(200));
+        for path in ["/submissions/j-777777", "/submissions/nonsense", "/nowhere"] {
+            assert_eq!(world.ask(0, "GET", path, b"").await.map(|r| r.0), Some(404), "{path}");
+        }
+        assert_eq!(world.ask(0, "DELETE", PATH_JOBS, b"").await.map(|r| r.0), Some(405));
+        assert_eq!(
+            world.ask(0, "POST", "/agent/beat", b"{\"host\":1}").await.map(|r| r.0),
+            Some(400)
+        );
+    });
+}
+
+#[test]
+fn without_the_store_nothing_is_guessed() {
+    story(1, |world| async move {
+        let job = spec(1, 2);
+        world.submit(&job, 2.0).await;
+        world.until_done(&job.id, 30.0).await;
+        world.store.set_down(true);
+        secs(1.0).await;
+        let body = serde_json::to_vec(&spec(2, 2)).expect("serializable");
+        assert_eq!(world.ask(0, "POST", PATH_JOBS, &body).await.map(|r| r.0), Some(503));
+        let unknown = "/submissions/j-000009";
+        assert_eq!(world.ask(0, "GET", unknown, b"").await.map(|r| r.0), Some(503));
+        // A final state may be answered from memory: it never changes.
+        let path = format!("{PATH_JOBS}/{}", job.id);
+        let answers =
+            [world.ask(0, "GET", &path, b"").await, world.ask(1, "GET", &path, b"").await];
+        assert!(answers.iter().flatten().all(|r| r.0 == 200 || r.0 == 503));
+        assert_eq!(world.ask(0, "GET", PATH_READY, b"").await.map(|r| r.0), Some(200));
+    });
+}
--- /dev/null
+++ b/crates/corkfield/tests/world/mod.rs
@@ -0,0 +1,255 @@
+//! A deployment in memory: three controllers, the stand-ins, and a user.
+
+use corkfield::node;
+use corkfield::settings::{Operator, Settings};
+use corkfield_fakes::{FakeCloud, FakeStore, Ledger, MemoryNet, Plan, WorkerSettings};
+use corkfield_http::Client;
+use corkfield_wire::cloud::MachineType;
+use corkfield_wire::records::{job_key, JobRecord, PlannerRecord, PLANNER};
+use corkfield_wire::settings::Platform;
+use corkfield_wire::user::{JobView, PATH_CANCEL, PATH_JOBS};
+use corkfield_wire::{JobId, JobSpec, JobStatus, TaskId};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::{JoinHandle, LocalSet};
+
+pub const NODES: [&str; 3] = ["n0", "n1", "n2"];
+pub const CANCEL_S: f64 = 30.0;
+pub const LEASE_S: f64 = 12.0;
+
+pub struct World {
+    pub net: MemoryNet,
+    pub store: Rc<FakeStore>,
+    pub cloud: Rc<FakeCloud>,
+    pub ledger: Rc<Ledger>,
+    /// While set, the state service refuses that controller.
+    pub refused: Vec<Rc<Cell<bool>>>,
+    running: RefCell<Vec<Option<JoinHandle<()>>>>,
+    clients: Vec<Client>,
+    seeds: Cell<u64>,
+}
+
+fn settings_of(n: usize) -> Settings {
+    let mut text = format!(
+        "node_name = \"{}\"\ndomain = \"z1\"\nclient_listen = \"10.0.0.{}:8080\"\nback = \"10.0.0.{}:8081\"\n",
+        NODES[n], n + 1, n + 1
+    );
+    for (m, name) in NODES.iter().enumerate().filter(|(m, _)| *m != n) {
+        text += &format!(
+            "[[seeds]]\nnode_name = \"{name}\"\ndomain = \"z1\"\nendpoint = \"10.0.0.{}:8081\"\n",
+            m + 1
+        );
+    }
+    text += &format!(
+        "[endpoints]\ncloud = \"10.2.1.1:443\"\nstate = \"10.2.0.{}:2379\"\n[settings]\nsize = 3\nzones = [\"z1\", \"z2\"]\n",
+        n + 1
+    );
+    for (name, cpus, max) in [("free", 0.0, 0.0), ("capped", 4.0, 6.0)] {
+        text += &format!(
+            "[[settings.teams]]\nname = \"{name}\"\ncpus = {cpus:.1}\ncpus_max = {max:.1}\n"
+        );
+    }
+    text += &format!(
+        "[settings.workers]\nreport_s = 2.0\nlease_s = {LEASE_S:.1}\ncancel_s = {CANCEL_S:.1}\n\
+         [settings.state]\nrps = 200.0\nwrite_rps = 90.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
+         [settings.cloud]\nrps = 5.0\nlist_lag_s = 1.0\n[settings.limits]\nsockets = 500\n"
+    );
+    let platform = Platform::parse(&text).expect("the settings are valid");
+    Settings { platform, operator: Operator::default() }
+}
+
+/// Plays a story in simulated time; it ends with a look at the rules.
+pub fn story<F: Future<Output = ()>>(machines: u32, tell: impl FnOnce(Rc<World>) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let world = Rc::new(World::new(machines));
+        for n in 0..NODES.len() {
+            world.start(n);
+        }
+        secs(8.0).await;
+        tell(world.clone()).await;
+        assert_eq!(world.ledger.broken_rules(), Vec::<String>::new());
+    });
+}
+
+pub async fn secs(seconds: f64) {
+    tokio::time::sleep(Duration::from_secs_f64(seconds)).await;
+}
+
+pub fn spec(number: u32, tasks: u32) -> JobSpec {
+    let text = format!(
+        "{{\"name_id\":\"j-{number:06}\",\"pool\":\"sums\",\"owner\":\"free\",\"shape\":\"sweep\",\"rank\":\"normal\",\
+         \"pieces\":{tasks},\"vcpus\":1.0,\"accelerators\":0.0,\"mem_gb\":1.0,\"bundle\":\"img-1\",\"image_gb\":0.5,\
+         \"same_place\":false,\"apart\":false,\"loaners\":true,\"guess_s\":5.0,\"snapshot_s\":0.0,\"flush_s\":0.0}}"
+    );
+    JobSpec::parse(text.as_bytes()).expect("a valid submission")
+}
+
+pub fn task(spec: &JobSpec, index: u32) -> TaskId {
+    TaskId { job: spec.id.clone(), index }
+}
+
+impl World {
+    fn new(machines: u32) -> Self {
+        let net = MemoryNet::default();
+        let ledger = Rc::new(Ledger::default());
+        ledger.cancel_after.set(Duration::from_secs_f64(CANCEL_S));
+        ledger.set_teams(settings_of(0).platform.params.teams);
+        let store = Rc::new(FakeStore::default());
+        store.keep_time();
+        let mut refused = Vec::new();
+        for n in 0..NODES.len() {
+            let flag = Rc::new(Cell::new(false));
+            let addr = SocketAddr::from(([10, 2, 0, n as u8 + 1], 2379));
+            store.start(net.host("state"), addr, flag.clone());
+            refused.push(flag);
+        }
+        let users = |n: usize| SocketAddr::from(([10, 0, 0, n as u8 + 1], 8080));
+        let controllers = (0..NODES.len()).map(|n| (NODES[n].to_owned(), users(n))).collect();
+        let template = WorkerSettings {
+            name: String::new(),
+            addr: users(0),
+            machine_type: String::new(),
+            zone: String::new(),
+            spot: false,
+            cpus: 0.0,
+            report: Duration::from_secs(2),
+            lease: Duration::from_secs_f64(LEASE_S),
+            controllers,
+        };
+        let kind = MachineType {
+            name: "box".to_owned(),
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 32.0,
+            cache_gb: 20.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.3,
+            boot_s: 5.0,
+            zones: vec!["z1".to_owned(), "z2".to_owned()],
+        };
+        let capacity = machines as usize;
+        let cloud = FakeCloud::new(net.clone(), ledger.clone(), template, vec![kind], capacity);
+        cloud.start(net.host("cloud"), SocketAddr::from(([10, 2, 1, 1], 443)));
+        for n in 0..machines {
+            cloud.add(if n % 2 == 0 { "z1" } else { "z2" }, false, 0.5);
+        }
+        let user = net.host("user");
+        let clients =
+            (0..NODES.len()).map(|n| Client::new(user.clone(), users(n), 50, 1024 * 1024));
+        let clients = clients.collect();
+        let running = RefCell::new((0..NODES.len()).map(|_| None).collect());
+        Self { net, store, cloud, ledger, refused, running, clients, seeds: Cell::new(7) }
+    }
+
+    pub fn start(&self, n: usize) {
+        self.seeds.set(self.seeds.get() + 1);
+        let (settings, network, seed) = (settings_of(n), self.net.host(NODES[n]), self.seeds.get());
+        // Its own task set: when it is dropped, all that the controller had under way ends.
+        let handle = tokio::task::spawn_local(async move {
+            let set = LocalSet::new();
+            let _ = set.run_until(node::run(settings, network, seed)).await;
+        });
+        self.running.borrow_mut()[n] = Some(handle);
+    }
+
+    pub fn kill(&self, n: usize) {
+        if let Some(handle) = self.running.borrow_mut()[n].take() {
+            handle.abort();
+        }
+    }
+
+    pub async fn restart(&self, n: usize, after: f64) {
+        self.kill(n);
+        secs(after).await;
+        self.start(n);
+    }
+
+    pub fn planner(&self) -> Option<(usize, u64)> {
+        let record: PlannerRecord = serde_json::from_value(self.store.get(PLANNER)?).ok()?;
+        let node = record.node?;
+        Some((NODES.iter().position(|n| *n == node)?, record.term))
+    }
+
+    pub fn planner_node(&self) -> usize {
+        self.planner().expect("somebody plans").0
+    }
+
+    pub fn record(&self, id: &JobId) -> Option<JobRecord> {
+        serde_json::from_value(self.store.get(&job_key(id))?).ok()
+    }
+
+    /// One request to one controller; `None` without an answer.
+    pub async fn ask(
+        &self,
+        n: usize,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Option<(u16, Vec<u8>)> {
+        let limit = Duration::from_secs(5);
+        let reply = self.clients[n].request(method, path, body, limit).await.ok()?;
+        Some((reply.status, reply.body))
+    }
+
+    /// Repeats a request, at one controller after another, until it has a lasting answer.
+    async fn insist(&self, method: &str, path: &str, body: &[u8]) -> (u16, Option<JobView>) {
+        for round in 0..60 {
+            if let Some((status, body)) = self.ask(round % NODES.len(), method, path, body).await {
+                if status < 500 && status != 429 {
+                    return (status, serde_json::from_slice(&body).ok());
+                }
+            }
+            secs(1.0).await;
+        }
+        panic!("no lasting answer to {method} {path}");
+    }
+
+    pub async fn submit(&self, spec: &JobSpec, run_s: f64) -> u16 {
+        self.submit_plan(Plan { spec: spec.clone(), run_s, broken: false }).await
+    }
+
+    pub async fn submit_plan(&self, plan: Plan) -> u16 {
+        let body = serde_json::to_vec(&plan.spec).expect("serializable");
+        self.ledger.submitted(plan);
+        self.insist("POST", PATH_JOBS, &body).await.0
+    }
+
+    pub async fn status(&self, id: &JobId) -> Option<JobStatus> {
+        let (_, view) = self.insist("GET", &format!("{PATH_JOBS}/{id}"), b"").await;
+        let status = view.map(|v| v.status);
+        if status == Some(JobStatus::Done) {
+            self.ledger.told_done(id);
+        }
+        status
+    }
+
+    pub async fn cancel(&self, id: &JobId) -> Option<JobStatus> {
+        let path = format!("{PATH_JOBS}/{id}/{PATH_CANCEL}");
+        let (_, view) = self.insist("POST", &path, b"").await;
+        let status = view.map(|v| v.status);
+        if status == Some(JobStatus::Cancelled) {
+            self.ledger.told_cancelled(id);
+        }
+        status
+    }
+
+    /// Waits until the job is done, and says how long that took.
+    pub async fn until_done(&self, id: &JobId, limit: f64) -> f64 {
+        let start = tokio::time::Instant::now();
+        while self.status(id).await != Some(JobStatus::Done) {
+            let waited = start.elapsed().as_secs_f64();
+            assert!(waited < limit, "{id} is not done after {waited} s: {:?}", self.record(id));
+            secs(1.0).await;
+        }
+        start.elapsed().as_secs_f64()
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/ledger.rs
@@ -0,0 +1,111 @@
+//! What really runs where, and the rules.
+
+use crate::now;
+use corkfield_wire::settings::Team;
+use corkfield_wire::{JobId, JobSpec, TaskId};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// How the tasks of a job really behave.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub spec: JobSpec,
+    pub run_s: f64,
+    /// Fails wherever it runs.
+    pub broken: bool,
+}
+
+#[derive(Default)]
+pub struct Ledger {
+    plans: RefCell<BTreeMap<JobId, Plan>>,
+    on: RefCell<BTreeMap<TaskId, String>>,
+    done: RefCell<BTreeMap<JobId, std::collections::BTreeSet<u32>>>,
+    cancelled: RefCell<BTreeMap<JobId, Instant>>,
+    teams: RefCell<Vec<Team>>,
+    broken: RefCell<Vec<String>>,
+    starts: RefCell<BTreeMap<TaskId, u32>>,
+    pub cancel_after: std::cell::Cell<Duration>,
+}
+
+impl Ledger {
+    pub fn set_teams(&self, teams: Vec<Team>) {
+        *self.teams.borrow_mut() = teams;
+    }
+
+    pub fn submitted(&self, plan: Plan) {
+        self.plans.borrow_mut().insert(plan.spec.id.clone(), plan);
+    }
+
+    pub fn plan(&self, id: &JobId) -> Option<Plan> {
+        self.plans.borrow().get(id).cloned()
+    }
+
+    pub fn told_cancelled(&self, id: &JobId) {
+        self.cancelled.borrow_mut().entry(id.clone()).or_insert_with(now);
+    }
+
+    pub fn told_done(&self, id: &JobId) {
+        let all = self.plan(id).map_or(0, |p| p.spec.tasks as usize);
+        if self.done.borrow().get(id).map_or(0, |d| d.len()) < all {
+            self.note(format!("not_done: {id}"));
+        }
+    }
+
+    fn note(&self, rule: String) {
+        self.broken.borrow_mut().push(rule);
+    }
+
+    /// A task has its image and starts.
+    pub fn starts(&self, task: &TaskId, machine: &str) {
+        if let Some(other) = self.on.borrow_mut().insert(task.clone(), machine.to_owned()) {
+            self.note(format!("ran_twice: {task} on {other} and {machine}"));
+        }
+        *self.starts.borrow_mut().entry(task.clone()).or_default() += 1;
+        self.check_cancelled(task);
+        let Some(plan) = self.plan(&task.job) else { return };
+        let team = self.teams.borrow().iter().find(|t| t.name == plan.spec.team).cloned();
+        let Some(team) = team.filter(|t| t.cpus_max > 0.0) else { return };
+        let on = self.on.borrow();
+        let plans = self.plans.borrow();
+        let of_team = on.keys().filter_map(|t| plans.get(&t.job));
+        let used: f64 = of_team.filter(|p| p.spec.team == team.name).map(|p| p.spec.cpus).sum();
+        if used > team.cpus_max + 1e-6 {
+            self.note(format!("quota: {} uses {used}", team.name));
+        }
+    }
+
+    pub fn check_cancelled(&self, task: &TaskId) {
+        let told = self.cancelled.borrow().get(&task.job).copied();
+        if told.is_some_and(|at| now() > at + self.cancel_after.get()) {
+            self.note(format!("ran_cancelled: {task}"));
+        }
+    }
+
+    pub fn ends(&self, task: &TaskId, machine: &str) {
+        let mut on = self.on.borrow_mut();
+        if on.get(task).is_some_and(|m| m == machine) {
+            on.remove(task);
+        }
+    }
+
+    pub fn completes(&self, task: &TaskId) {
+        self.done.borrow_mut().entry(task.job.clone()).or_default().insert(task.index);
+    }
+
+    pub fn machine_of(&self, task: &TaskId) -> Option<String> {
+        self.on.borrow().get(task).cloned()
+    }
+
+    pub fn running(&self, id: &JobId) -> usize {
+        self.on.borrow().keys().filter(|t| t.job == *id).count()
+    }
+
+    pub fn started(&self, task: &TaskId) -> u32 {
+        self.starts.borrow().get(task).copied().unwrap_or(0)
+    }
+
+    pub fn broken_rules(&self) -> Vec<String> {
+        self.broken.borrow().clone()
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/net.rs
@@ -0,0 +1,172 @@
+//! A network in memory: hosts, cuts that hold messages back, hosts that die.
+
+use corkfield_http::net::LocalFuture;
+use corkfield_http::{Listener, Network, Stream};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::future::Future;
+use std::io::{Error, ErrorKind, Result};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf};
+use tokio::sync::{mpsc, Mutex, Notify};
+
+const LATENCY: Duration = Duration::from_millis(1);
+
+type Task = Pin<Box<dyn Future<Output = ()>>>;
+type Incoming = mpsc::UnboundedSender<Stream>;
+
+struct Inner {
+    listeners: RefCell<BTreeMap<SocketAddr, (String, Incoming)>>,
+    cuts: RefCell<BTreeSet<(String, String)>>,
+    healed: Notify,
+    spawn: mpsc::UnboundedSender<Task>,
+}
+
+impl Inner {
+    fn is_cut(&self, a: &str, b: &str) -> bool {
+        let cuts = self.cuts.borrow();
+        let pairs = [(a, b), (b, a), (a, "*"), (b, "*")];
+        pairs.iter().any(|(x, y)| cuts.contains(&((*x).to_owned(), (*y).to_owned())))
+    }
+
+    async fn until_open(&self, a: &str, b: &str) {
+        loop {
+            let healed = self.healed.notified();
+            if !self.is_cut(a, b) {
+                return;
+            }
+            healed.await;
+        }
+    }
+}
+
+#[derive(Clone)]
+pub struct MemoryNet(Rc<Inner>);
+
+impl Default for MemoryNet {
+    /// Must be called on a local task set: messages under way outlive their senders.
+    fn default() -> Self {
+        let (spawn, mut tasks) = mpsc::unbounded_channel::<Task>();
+        tokio::task::spawn_local(async move {
+            while let Some(task) = tasks.recv().await {
+                tokio::task::spawn_local(task);
+            }
+        });
+        Self(Rc::new(Inner {
+            listeners: RefCell::default(),
+            cuts: RefCell::default(),
+            healed: Notify::new(),
+            spawn,
+        }))
+    }
+}
+
+impl MemoryNet {
+    pub fn host(&self, name: &str) -> Rc<Host> {
+        Rc::new(Host { name: name.to_owned(), net: self.0.clone() })
+    }
+
+    /// Holds back everything between two hosts (`*`: all others) until it is healed.
+    pub fn cut(&self, a: &str, b: &str) {
+        self.0.cuts.borrow_mut().insert((a.to_owned(), b.to_owned()));
+    }
+
+    pub fn heal(&self, a: &str, b: &str) {
+        self.0.cuts.borrow_mut().remove(&(a.to_owned(), b.to_owned()));
+        self.0.healed.notify_waiters();
+    }
+
+    /// Runs something that outlives the task that started it.
+    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        let _ = self.0.spawn.send(Box::pin(task));
+    }
+}
+
+/// One host's view of the network.
+pub struct Host {
+    name: String,
+    net: Rc<Inner>,
+}
+
+impl Network for Host {
+    fn connect(&self, addr: SocketAddr) -> LocalFuture<'_, Result<Stream>> {
+        Box::pin(async move {
+            let refused = || Error::from(ErrorKind::ConnectionRefused);
+            tokio::time::sleep(LATENCY).await;
+            let other = self.net.listeners.borrow().get(&addr).map(|l| l.0.clone());
+            let other = other.ok_or_else(refused)?;
+            self.net.until_open(&self.name, &other).await;
+            let incoming = self.net.listeners.borrow().get(&addr).map(|l| l.1.clone());
+            let incoming = incoming.ok_or_else(refused)?;
+            let (mine, near) = tokio::io::duplex(64 * 1024);
+            let (far, theirs) = tokio::io::duplex(64 * 1024);
+            let (near_read, near_write) = tokio::io::split(near);
+            let (far_read, far_write) = tokio::io::split(far);
+            let pump = |read, write| {
+                let (net, a, b) = (self.net.clone(), self.name.clone(), other.clone());
+                let _ = self.net.spawn.send(Box::pin(pump(net, a, b, read, write)));
+            };
+            pump(near_read, far_write);
+            pump(far_read, near_write);
+            incoming.send(Box::new(theirs)).map_err(|_| refused())?;
+            Ok(Box::new(mine) as Stream)
+        })
+    }
+
+    fn listen(&self, addr: SocketAddr) -> LocalFuture<'_, Result<Box<dyn Listener>>> {
+        Box::pin(async move {
+            let (sender, receiver) = mpsc::unbounded_channel();
+            let mut listeners = self.net.listeners.borrow_mut();
+            if listeners.contains_key(&addr) {
+                return Err(ErrorKind::AddrInUse.into());
+            }
+            listeners.insert(addr, (self.name.clone(), sender));
+            let net = self.net.clone();
+            let receiver = Mutex::new(receiver);
+            Ok(Box::new(MemoryListener { addr, net, receiver }) as Box<dyn Listener>)
+        })
+    }
+}
+
+struct MemoryListener {
+    addr: SocketAddr,
+    net: Rc<Inner>,
+    receiver: Mutex<mpsc::UnboundedReceiver<Stream>>,
+}
+
+impl Listener for MemoryListener {
+    fn accept(&self) -> LocalFuture<'_, Result<Stream>> {
+        Box::pin(async move {
+            let next = self.receiver.lock().await.recv().await;
+            next.ok_or_else(|| ErrorKind::ConnectionAborted.into())
+        })
+    }
+}
+
+impl Drop for MemoryListener {
+    fn drop(&mut self) {
+        self.net.listeners.borrow_mut().remove(&self.addr);
+    }
+}
+
+async fn pump(
+    net: Rc<Inner>,
+    a: String,
+    b: String,
+    mut from: ReadHalf<DuplexStream>,
+    mut to: WriteHalf<DuplexStream>,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(n) = from.read(&mut buffer).await {
+        tokio::time::sleep(LATENCY).await;
+        // What was sent before or during a cut arrives after it, even if its sender gave up.
+        net.until_open(&a, &b).await;
+        if n == 0 || to.write_all(&buffer[..n]).await.is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown().await;
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,11 +1,12 @@
 //! The client: kept connections to one address, one request at a time on each.
 
 use crate::message::{self, ReadError, MAX_HEAD, MAX_HEADERS};
+use crate::net::{Network, Stream};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
 /// Kept connections that nobody used for this long are not tried again.
@@ -30,10 +31,11 @@
 }
 
 pub struct Client {
+    network: Rc<dyn Network>,
     addr: SocketAddr,
     max_connections: usize,
     max_body: usize,
-    idle: RefCell<Vec<(TcpStream, Instant)>>,
+    idle: RefCell<Vec<(Stream, Instant)>>,
     open: Cell<usize>,
 }
 
@@ -46,9 +48,14 @@
 }
 
 impl Client {
-    pub fn new(addr: SocketAddr, max_connections: usize, max_body: usize) -> Self {
+    pub fn new(
+        network: Rc<dyn Network>,
+        addr: SocketAddr,
+        max_connections: usize,
+        max_body: usize,
+    ) -> Self {
         let idle = RefCell::new(Vec::new());
-        Self { addr, max_connections, max_body, idle, open: Cell::new(0) }
+        Self { network, addr, max_connections, max_body, idle, open: Cell::new(0) }
     }
 
     /// Sends a request and reads its answer. A request that timed out takes its connection
@@ -93,13 +100,12 @@
                 Err(error) => return Err(error),
             }
         }
-        let mut stream = TcpStream::connect(self.addr).await?;
-        let _ = stream.set_nodelay(true);
+        let mut stream = self.network.connect(self.addr).await?;
         let (reply, close) = self.send(&mut stream, &bytes).await?;
         Ok(self.finish(stream, reply, close))
     }
 
-    fn kept(&self) -> Option<TcpStream> {
+    fn kept(&self) -> Option<Stream> {
         let mut idle = self.idle.borrow_mut();
         let (stream, since) = idle.pop()?;
         if since.elapsed() < KEEP {
@@ -109,18 +115,14 @@
         None
     }
 
-    fn finish(&self, stream: TcpStream, reply: Reply, close: bool) -> Reply {
+    fn finish(&self, stream: Stream, reply: Reply, close: bool) -> Reply {
         if !close {
             self.idle.borrow_mut().push((stream, Instant::now()));
         }
         reply
     }
 
-    async fn send(
-        &self,
-        stream: &mut TcpStream,
-        bytes: &[u8],
-    ) -> Result<(Reply, bool), ClientError> {
+    async fn send(&self, stream: &mut Stream, bytes: &[u8]) -> Result<(Reply, bool), ClientError> {
         stream.write_all(bytes).await?;
         let mut buffer = Vec::new();
         loop {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,7 +3,9 @@
 
 pub mod client;
 mod message;
+pub mod net;
 pub mod server;
 
 pub use client::{Client, ClientError, Reply};
+pub use net::{Listener, Network, Stream, Tcp};
 pub use server::{serve, Limits, Request, Response};
--- /dev/null
+++ b/crates/http/src/net.rs
@@ -0,0 +1,54 @@
+//! Where connections come from: the system's TCP, or a stand-in for tests.
+
+use std::future::Future;
+use std::io::Result;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+
+pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// A connection.
+pub trait Io: AsyncRead + AsyncWrite + Unpin {}
+impl<T: AsyncRead + AsyncWrite + Unpin> Io for T {}
+pub type Stream = Box<dyn Io>;
+
+pub trait Listener {
+    fn accept(&self) -> LocalFuture<'_, Result<Stream>>;
+}
+
+pub trait Network {
+    fn connect(&self, addr: SocketAddr) -> LocalFuture<'_, Result<Stream>>;
+    fn listen(&self, addr: SocketAddr) -> LocalFuture<'_, Result<Box<dyn Listener>>>;
+}
+
+/// The system's TCP.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Tcp;
+
+impl Network for Tcp {
+    fn connect(&self, addr: SocketAddr) -> LocalFuture<'_, Result<Stream>> {
+        Box::pin(async move { TcpStream::connect(addr).await.map(prompt) })
+    }
+
+    fn listen(&self, addr: SocketAddr) -> LocalFuture<'_, Result<Box<dyn Listener>>> {
+        Box::pin(async move {
+            let listener = TcpListener::bind(addr).await?;
+            Ok(Box::new(listener) as Box<dyn Listener>)
+        })
+    }
+}
+
+impl Listener for TcpListener {
+    fn accept(&self) -> LocalFuture<'_, Result<Stream>> {
+        Box::pin(async move { TcpListener::accept(self).await.map(|(stream, _)| prompt(stream)) })
+    }
+}
+
+/// Small messages go out at once. That is only a matter of speed: a platform that refuses the
+/// setting loses nothing else.
+fn prompt(stream: TcpStream) -> Stream {
+    let _ = stream.set_nodelay(true);
+    Box::new(stream)
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,12 +1,12 @@
 //! The server: one task per connection, one request at a time on each.
 
 use crate::message::{self, ReadError, MAX_HEAD, MAX_HEADERS};
+use crate::net::{Listener, Stream};
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
 #[derive(Debug, Clone)]
@@ -76,7 +76,7 @@
 }
 
 /// Accepts connections for ever. A failing accept (no free sockets, say) never ends it.
-pub async fn serve<H, F>(listener: TcpListener, limits: Limits, handler: Rc<H>)
+pub async fn serve<H, F>(listener: Box<dyn Listener>, limits: Limits, handler: Rc<H>)
 where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Response> + 'static,
@@ -85,7 +85,7 @@
     loop {
         match listener.accept().await {
             // Above the limit a connection is closed at once: its client goes elsewhere.
-            Ok((stream, _)) if open.get() < limits.connections => {
+            Ok(stream) if open.get() < limits.connections => {
                 open.set(open.get() + 1);
                 let (limits, handler, open) = (limits.clone(), handler.clone(), open.clone());
                 tokio::task::spawn_local(async move {
@@ -93,7 +93,7 @@
                     open.set(open.get() - 1);
                 });
             }
-            Ok((stream, _)) => drop(stream),
+            Ok(stream) => drop(stream),
             Err(error) => {
                 tracing::debug!(%error, "accept failed");
                 tokio::time::sleep(Duration::from_millis(50)).await;
@@ -102,17 +102,11 @@
     }
 }
 
-async fn connection<H, F>(
-    mut stream: TcpStream,
-    limits: &Limits,
-    handler: &H,
-) -> Result<(), ReadError>
+async fn connection<H, F>(mut stream: Stream, limits: &Limits, handler: &H) -> Result<(), ReadError>
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
 {
-    // Only a matter of speed: a platform that refuses it loses nothing else.
-    let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     loop {
         if buffer.is_empty() {
@@ -166,7 +160,7 @@
 }
 
 async fn read_request(
-    stream: &mut TcpStream,
+    stream: &mut Stream,
     buffer: &mut Vec<u8>,
     limits: &Limits,
 ) -> Result<(Request, bool), ReadError> {
@@ -203,16 +197,19 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::net::{Network, Tcp};
     use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
 
     async fn exchange(bytes: &[u8]) -> String {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
+        let listener: Box<dyn Listener> = Box::new(listener);
         let handler = |r: Request| async move {
             Response::new(200, format!("{} {} {}", r.method, r.path(), r.body.len()).into_bytes())
         };
         tokio::task::spawn_local(serve(listener, Limits::default(), Rc::new(handler)));
-        let mut stream = TcpStream::connect(addr).await.unwrap();
+        let mut stream = Tcp.connect(addr).await.unwrap();
         stream.write_all(bytes).await.unwrap();
         stream.shutdown().await.unwrap();
         let mut answer = String::new();
--- a/crates/state/src/client.rs
+++ b/crates/state/src/client.rs
@@ -1,13 +1,14 @@
 //! Requests to the state service.
 
 use crate::budget::{Budget, Use};
-use corkfield_http::{Client, ClientError, Reply};
+use corkfield_http::{Client, ClientError, Network, Reply};
 use corkfield_wire::store::{
     Events, Failed, Grant, GrantRequest, Item, Page, Revision, Txn, PATH_KEYS, PATH_LEASES,
     PATH_RENEW, PATH_TXN, PATH_WATCH,
 };
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 const MAX_BODY: usize = 8 * 1024 * 1024;
@@ -43,9 +44,9 @@
 
 impl StateClient {
     /// `rps` and `write_rps` are the service's limits for all controllers together.
-    pub fn new(addr: SocketAddr, rps: f64, write_rps: f64) -> Self {
+    pub fn new(network: Rc<dyn Network>, addr: SocketAddr, rps: f64, write_rps: f64) -> Self {
         let client = Self {
-            http: Client::new(addr, CONNECTIONS, MAX_BODY),
+            http: Client::new(network, addr, CONNECTIONS, MAX_BODY),
             requests: Budget::new(rps, rps),
             writes: Budget::new(write_rps, write_rps),
             rps,
