--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// Work is spread over machines so that it would take about this long besides the boot.
-const HORIZON_S: f64 = 45.0;
+const HORIZON_S: f64 = 20.0;
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
 
 /// An ordinary machine that costs this many times a spot one is dear.
