--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -298,7 +298,10 @@
             self.config.objectives.iter().find(of_kind).and_then(|o| o.within_s)
         };
         let aims = [within("wait"), within("guarantee").filter(|_| guaranteed)];
-        let within = aims.into_iter().flatten().fold(25.0, f64::min);
+        let to_due = self
+            .due(job)
+            .map_or(25.0, |due| due.saturating_duration_since(job.accepted_at).as_secs_f64());
+        let within = aims.into_iter().flatten().fold(to_due, f64::min);
         Duration::try_from_secs_f64(within * PATIENCE).unwrap_or_default()
     }
 
