--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -18,7 +18,7 @@
 const NEARLY_DONE_S: f64 = 6.0;
 
 /// The part of an aim's time that passes before work is stopped for a job that waits.
-const PATIENCE: f64 = 0.35;
+const PATIENCE: f64 = 0.55;
 
 /// A machine with room, during one pass.
 struct Room {
