--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -1,5 +1,6 @@
 //! Renting and returning machines.
 
+use crate::job::Job;
 use crate::machine::{Machine, MachineState};
 use crate::placement::{SLOW, SLOW_SAMPLES};
 use crate::planner::{Action, Planner};
@@ -19,6 +20,10 @@
 /// After dear machines went, none is rented for this long while spot ones can be had.
 const DEAR_PAUSE: Duration = Duration::from_secs(600);
 
+/// The part of the keeping time after which machines beyond the likely need are returned.
+const SHORT_KEEP: f64 = 0.35;
+const LATELY: Duration = Duration::from_secs(180);
+
 /// Machine type, zone, and whether it is a spot machine.
 type Offer = (String, String, bool);
 
@@ -28,6 +33,8 @@
     backoff: BTreeMap<Offer, (Instant, u32)>,
     under_way: BTreeMap<String, RentRequest>,
     dear_until: Option<Instant>,
+    /// When the most CPUs were asked for at once by a job that is to start soon, and how many.
+    lately: (Option<Instant>, f64),
 }
 
 impl Renting {
@@ -38,6 +45,7 @@
             backoff: BTreeMap::new(),
             under_way: BTreeMap::new(),
             dear_until: None,
+            lately: (None, 0.0),
         }
     }
 }
@@ -244,10 +252,31 @@
         }
     }
 
+    /// The most CPUs that one job with an early start to reach asked for lately.
+    fn headroom(&mut self, now: Instant) -> f64 {
+        let soon = |job: &Job| {
+            let class = job.spec().class.as_str();
+            self.config.objectives.iter().any(|o| match o.kind.as_str() {
+                "wait" => o.class.as_deref() == Some(class),
+                "guarantee" => self.config.teams[job.team].cpus > 0.0,
+                _ => false,
+            })
+        };
+        let asked = self.jobs.values().filter(|j| soon(j)).map(|j| j.demand().cpus);
+        let asked = asked.fold(0.0, f64::max);
+        let (at, most) = self.renting.lately;
+        if asked >= most || at.is_none_or(|at| now.saturating_duration_since(at) > LATELY) {
+            self.renting.lately = (Some(now), asked);
+        }
+        self.renting.lately.1
+    }
+
     fn return_idle(&mut self, want: f64, supply: f64, now: Instant) {
         let keep = self.config.idle_keep;
+        let short = keep.mul_f64(SHORT_KEEP);
+        let headroom = self.headroom(now);
         let mut spare = supply - want;
-        let mut idle: Vec<(f64, String, f64)> = Vec::new();
+        let mut idle: Vec<(f64, String, f64, bool)> = Vec::new();
         for machine in self.machines.values_mut() {
             let Some(size) = &machine.size else { continue };
             if machine.state() != MachineState::Up || !machine.held.is_empty() {
@@ -257,14 +286,17 @@
             let since = *machine.idle_since.get_or_insert(now);
             let price = if machine.spot { size.spot_price } else { size.price };
             let slow = machine.slowness > SLOW && machine.slowness_samples >= SLOW_SAMPLES;
-            if slow || now.saturating_duration_since(since) >= keep {
-                idle.push((price / size.cpus.max(0.1), machine.name.clone(), size.cpus));
+            let idle_for = now.saturating_duration_since(since);
+            if slow || idle_for >= short {
+                let long = slow || idle_for >= keep;
+                idle.push((price / size.cpus.max(0.1), machine.name.clone(), size.cpus, long));
             }
         }
         // The dearest go first.
         idle.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(std::cmp::Ordering::Equal));
-        for (_, name, cpus) in idle {
-            if spare < cpus {
+        for (_, name, cpus, long) in idle {
+            // What jobs that start soon are likely to need is kept for longer.
+            if spare < cpus || (!long && spare < cpus + headroom) {
                 continue;
             }
             spare -= cpus;
