Take-over: let tasks of jobs not yet claimed be; drop records of gone machines for sure

And the record of a machine that went while the store was down was never dropped, so the next take-over waited 10 s for it. Records now also carry their time, so that the first lists may tell. Two stories and seven tests of the planner alone.

--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -89,6 +89,8 @@
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) machines: BTreeMap<String, Machine>,
     gone: VecDeque<String>,
+    /// Unfinished jobs that are not claimed yet: their tasks are let be.
+    unclaimed: BTreeSet<JobId>,
     /// Machines recorded by earlier planners whose tasks are not known yet (S7).
     unfenced: BTreeSet<String>,
     pub(crate) actions: Vec<Action>,
@@ -108,6 +110,7 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             gone: VecDeque::new(),
+            unclaimed: BTreeSet::new(),
             unfenced: BTreeSet::new(),
             actions: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -159,11 +162,20 @@
 
     /// A machine on which an earlier planner may have started tasks. Nothing that was claimed
     /// before is started until it has reported under our term, or is gone, or has lapsed.
-    pub fn recorded_machine(&mut self, name: &str, record: &MachineRecord, now: Instant) {
-        let MachineRecord { addr, machine_type, zone, spot } = record.clone();
+    /// `age` is the time since the record was written, at the least.
+    pub fn recorded_machine(
+        &mut self,
+        name: &str,
+        record: &MachineRecord,
+        age: Duration,
+        now: Instant,
+    ) {
+        let MachineRecord { addr, machine_type, zone, spot, .. } = record.clone();
         let mut machine = Machine::new(name.to_owned(), machine_type, zone, spot, now);
         machine.addr = addr;
         machine.recorded = Recorded::Yes;
+        // It existed then, so the first lists may tell already that it is gone.
+        machine.known_since = now.checked_sub(age).unwrap_or(now);
         machine.size = self.types.iter().find(|t| t.name == machine.type_name).cloned();
         // S6: the planner before us may have answered it until its fresh state ran out.
         machine.answered_at = now + self.config.answer_limit;
@@ -185,6 +197,13 @@
 
     // ----- jobs -----
 
+    /// Which unfinished jobs are still to be claimed. A take-over claims them a few at a time,
+    /// and their machines report meanwhile: tasks of jobs that are merely not claimed yet must
+    /// neither be stopped as nobody's, nor their results be forgotten.
+    pub fn set_unclaimed(&mut self, unclaimed: BTreeSet<JobId>) {
+        self.unclaimed = unclaimed;
+    }
+
     /// A job that was claimed, with its finished tasks.
     pub fn claimed(
         &mut self,
@@ -427,6 +446,7 @@
                 machine_type: machine.type_name.clone(),
                 zone: machine.zone.clone(),
                 spot: machine.spot,
+                recorded_ms: 0,
             };
             self.actions.push(Action::Record(name.clone(), record));
         }
@@ -661,11 +681,14 @@
         let mut orders = Vec::new();
         for ((task, attempt), held) in &mut machine.held {
             let job = self.jobs.get(&task.job);
+            if job.is_none() && self.unclaimed.contains(&task.job) {
+                continue;
+            }
             let forget = match held.state {
                 // S9: stored before it is forgotten.
                 HeldState::Done => match job {
                     Some(job) => !job.is_live() || job.is_stored(task.index),
-                    None => self.unfenced.is_empty(),
+                    None => true,
                 },
                 HeldState::Exited => true,
                 _ => false,
--- /dev/null
+++ b/crates/core/tests/planner.rs
@@ -0,0 +1,219 @@
+//! The planner alone: what settles a start, and what counts as fresh.
+
+use corkfield_core::{Action, Config, HeldState, Planner, Verdict};
+use corkfield_wire::cloud::MachineType;
+use corkfield_wire::records::{JobRecord, MachineRecord};
+use corkfield_wire::settings::Team;
+use corkfield_wire::worker::{ExitCause, Order, Report, TaskPhase, TaskReport};
+use corkfield_wire::{JobId, JobSpec, TaskId, TaskSet};
+use std::time::{Duration, Instant};
+
+fn config() -> Config {
+    Config {
+        teams: vec![Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
+        objectives: Vec::new(),
+        worker_lease: Duration::from_secs(12),
+        report_interval: Duration::from_secs(2),
+        answer_limit: Duration::from_secs(8),
+        list_lag: Duration::from_secs(1),
+        claim_limit: 12,
+        placement_sample: 64,
+        idle_keep: Duration::from_secs(60),
+    }
+}
+
+fn planner(term: u64) -> Planner {
+    let mut planner = Planner::new(config(), term, 1);
+    planner.set_types(vec![MachineType {
+        name: "box".into(),
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 16.0,
+        cache_gb: 10.0,
+        fetch_gb_per_s: 1.0,
+        price: 1.0,
+        spot_price: 0.4,
+        boot_s: 5.0,
+        zones: vec!["z".into()],
+    }]);
+    planner
+}
+
+fn record(tasks: u32, generation: u64) -> JobRecord {
+    let text = format!(
+        "{{\"name_id\":\"j-000001\",\"pool\":\"c\",\"owner\":\"t\",\"shape\":\"sweep\",\"rank\":\"normal\",\"pieces\":{tasks},\
+         \"vcpus\":1.0,\"accelerators\":0.0,\"mem_gb\":1.0,\"bundle\":\"i\",\"image_gb\":0.5,\"same_place\":false,\
+         \"apart\":false,\"loaners\":true,\"guess_s\":5.0,\"snapshot_s\":0.0,\"flush_s\":0.0}}"
+    );
+    let spec = JobSpec::parse(text.as_bytes()).expect("a valid submission");
+    JobRecord { generation, ..JobRecord::new(spec, 0) }
+}
+
+fn id() -> JobId {
+    JobId::parse("j-000001").expect("an id")
+}
+
+fn report(seq: u64, term: u64, tasks: Vec<TaskReport>) -> Report {
+    Report {
+        machine: "host-1".into(),
+        addr: "10.0.0.9:9000".into(),
+        machine_type: "box".into(),
+        zone: "z".into(),
+        spot: false,
+        session: 1,
+        seq,
+        term,
+        notice_s: None,
+        tasks,
+    }
+}
+
+fn on_machine(attempt: u64, phase: TaskPhase, cause: Option<ExitCause>) -> TaskReport {
+    let task = TaskId { job: id(), index: 0 };
+    TaskReport { task, attempt, phase, cause, saved: None }
+}
+
+/// A planner that has just sent the start of the only task in the answer to report 2.
+fn with_start_sent(now: Instant) -> (Planner, u64) {
+    let mut planner = planner(1);
+    assert_eq!(planner.on_report(&report(1, 1, Vec::new()), true, now), Verdict::Accept);
+    planner.machine_recorded("host-1", true);
+    planner.claimed(record(1, 1), TaskSet::default(), 5, Duration::ZERO, now);
+    planner.plan(now);
+    assert_eq!(planner.on_report(&report(2, 1, Vec::new()), true, now), Verdict::Accept);
+    let orders = planner.orders("host-1", 1, 2, true, now);
+    let [Order::Start { attempt, .. }] = orders[..] else { panic!("{orders:?}") };
+    (planner, attempt)
+}
+
+#[test]
+fn only_the_workers_own_next_report_settles_a_start() {
+    let now = Instant::now();
+    let (mut planner, attempt) = with_start_sent(now);
+    // Made while the answer with the start was still under way.
+    planner.on_report(&report(3, 1, Vec::new()), false, now);
+    let placed = planner.job(&id()).expect("claimed").active().get(&0).cloned();
+    assert_eq!(placed.map(|p| p.attempt), Some(attempt), "S3: it may still be carried out");
+    planner.on_report(&report(4, 1, Vec::new()), true, now);
+    planner.plan(now);
+    let again = planner.job(&id()).expect("claimed").active().get(&0).cloned();
+    assert!(again.is_some_and(|p| p.attempt > attempt), "attempts never repeat");
+}
+
+#[test]
+fn a_start_leaves_only_with_the_newest_report_and_a_valid_lease() {
+    let now = Instant::now();
+    let mut planner = planner(1);
+    planner.on_report(&report(1, 1, Vec::new()), true, now);
+    planner.machine_recorded("host-1", true);
+    planner.claimed(record(1, 1), TaskSet::default(), 5, Duration::ZERO, now);
+    planner.plan(now);
+    planner.on_report(&report(2, 1, Vec::new()), true, now);
+    assert!(planner.orders("host-1", 1, 2, false, now).is_empty(), "S4");
+    assert!(planner.orders("host-1", 1, 1, true, now).is_empty(), "that report's worker has left");
+    assert_eq!(planner.orders("host-1", 1, 2, true, now).len(), 1);
+}
+
+#[test]
+fn only_a_report_under_our_term_is_fresh_after_a_take_over() {
+    let now = Instant::now();
+    let mut planner = planner(7);
+    let machine = MachineRecord {
+        addr: "10.0.0.9:9000".into(),
+        machine_type: "box".into(),
+        zone: "z".into(),
+        spot: false,
+        recorded_ms: 0,
+    };
+    planner.recorded_machine("host-1", &machine, Duration::ZERO, now);
+    planner.claimed(record(1, 2), TaskSet::default(), 5, Duration::ZERO, now);
+    // A report made before the worker took our term, perhaps held back for minutes.
+    planner.on_report(&report(8, 6, Vec::new()), true, now);
+    planner.plan(now);
+    assert!(!planner.is_complete(), "S7");
+    assert!(planner.job(&id()).expect("claimed").active().is_empty());
+    let running = on_machine((1 << 24) | 1, TaskPhase::Running, None);
+    planner.on_report(&report(9, 7, vec![running]), false, now);
+    assert!(planner.is_complete());
+    let job = planner.job(&id()).expect("claimed");
+    assert_eq!(job.active().len(), 1, "taken up where it runs");
+}
+
+#[test]
+fn a_task_is_started_elsewhere_only_after_the_lease_has_surely_lapsed() {
+    let now = Instant::now();
+    let (mut planner, _) = with_start_sent(now);
+    let before = now + Duration::from_secs(12);
+    planner.tick(before);
+    assert_eq!(planner.job(&id()).expect("claimed").active().len(), 1, "S5");
+    planner.tick(now + Duration::from_secs(15));
+    assert!(planner.job(&id()).expect("claimed").active().is_empty());
+    // What that session still sends is not taken any more.
+    let late = report(5, 1, Vec::new());
+    assert_eq!(planner.on_report(&late, true, now + Duration::from_secs(16)), Verdict::Stale);
+}
+
+#[test]
+fn an_earlier_attempt_that_is_forgotten_does_not_free_a_later_one() {
+    let now = Instant::now();
+    let (mut planner, first) = with_start_sent(now);
+    let stopped = on_machine(first, TaskPhase::Exited, Some(ExitCause::Stopped));
+    planner.on_report(&report(3, 1, vec![stopped.clone()]), true, now);
+    planner.plan(now);
+    let orders = planner.orders("host-1", 1, 3, true, now);
+    assert!(matches!(orders[..], [Order::Forget { .. }, Order::Start { .. }]), "{orders:?}");
+    let second = planner.job(&id()).expect("claimed").active()[&0].attempt;
+    let running = on_machine(second, TaskPhase::Running, None);
+    planner.on_report(&report(4, 1, vec![running]), true, now);
+    let active = planner.job(&id()).expect("claimed").active();
+    assert_eq!(active.get(&0).map(|p| p.attempt), Some(second));
+}
+
+#[test]
+fn a_finished_task_is_stored_before_it_is_forgotten() {
+    let now = Instant::now();
+    let (mut planner, attempt) = with_start_sent(now);
+    let done = on_machine(attempt, TaskPhase::Exited, Some(ExitCause::Done));
+    planner.on_report(&report(3, 1, vec![done.clone()]), true, now);
+    assert!(planner.orders("host-1", 1, 3, true, now).is_empty(), "S9");
+    let due = planner.settlements(4, now);
+    assert!(due[0].finishes);
+    planner.settled(&due[0], 6);
+    planner.on_report(&report(4, 1, vec![done]), true, now);
+    assert!(matches!(planner.orders("host-1", 1, 4, true, now)[..], [Order::Forget { .. }]));
+    let held: Vec<HeldState> =
+        planner.machine("host-1").expect("known").held.values().map(|h| h.state).collect();
+    assert_eq!(held, [HeldState::Done]);
+    assert!(planner.take_actions().iter().any(|a| matches!(a, Action::Record(..))));
+}
+
+#[test]
+fn same_place_and_apart_are_kept() {
+    let now = Instant::now();
+    for (one_zone, spread, most) in [(true, false, 4), (false, true, 3)] {
+        let mut planner = planner(1);
+        for (n, zone) in ["z", "y", "z", "y"].into_iter().enumerate() {
+            let mut report = report(1, 1, Vec::new());
+            report.machine = format!("host-{n}");
+            report.zone = zone.into();
+            planner.on_report(&report, true, now);
+            planner.machine_recorded(&report.machine, true);
+        }
+        let mut job = record(6, 1);
+        (job.spec.one_zone, job.spec.spread, job.spec.cpus) = (one_zone, spread, 2.0);
+        planner.claimed(job, TaskSet::default(), 5, Duration::ZERO, now);
+        planner.plan(now);
+        let job = planner.job(&id()).expect("claimed");
+        let in_z = job
+            .active()
+            .values()
+            .filter(|p| planner.machine(&p.machine).is_some_and(|m| m.zone == "z"));
+        let (in_z, all) = (in_z.count(), job.active().len());
+        if one_zone {
+            assert!(in_z == 0 || in_z == all, "same place: {in_z} of {all}");
+            assert_eq!(all, most);
+        } else {
+            assert_eq!((in_z, all), (most, 6), "at most half, rounded up, in a zone");
+        }
+    }
+}
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -215,7 +215,6 @@
     me: Current,
     /// Version of the planner record that this claim rests on.
     version: Cell<u64>,
-    machine_versions: RefCell<HashMap<String, u64>>,
 }
 
 async fn plan(node: &Rc<Node>, me: &Current, version: u64, term: u64) -> End {
@@ -226,7 +225,6 @@
         planner: Rc::new(RefCell::new(planner)),
         me: me.clone(),
         version: Cell::new(version),
-        machine_versions: RefCell::default(),
     };
     let types = node.follower.cache.borrow().types.clone();
     if let Some(types) = types {
@@ -250,10 +248,9 @@
                         };
                         match serde_json::from_value::<MachineRecord>(item.value) {
                             Ok(record) => {
+                                let age = self.node.age_at_least(record.recorded_ms);
                                 let mut planner = self.planner.borrow_mut();
-                                planner.recorded_machine(name, &record, now());
-                                let mut versions = self.machine_versions.borrow_mut();
-                                versions.insert(name.to_owned(), item.version);
+                                planner.recorded_machine(name, &record, age, now());
                             }
                             Err(error) => {
                                 tracing::error!(name, %error, "unreadable machine record")
@@ -268,7 +265,7 @@
                 }
             }
         }
-        // Jobs first: reports of their tasks are of no use without them.
+        // The most urgent jobs first: reports of tasks are of little use without their jobs.
         self.claim_round().await;
         self.node.leader.begin(self.planner.clone());
         tokio::join!(
@@ -370,6 +367,9 @@
                     planner.close_job(&id);
                 }
             }
+            let unclaimed = cache.jobs.keys().filter(|id| planner.job(id).is_none());
+            let unclaimed = unclaimed.cloned().collect();
+            planner.set_unclaimed(unclaimed);
             let lapsed: HashSet<JobId> = planner.lapsed_jobs().into_iter().collect();
             let wall = wall_ms();
             for (id, (record, version)) in &cache.jobs {
@@ -575,7 +575,8 @@
                     direct(&node, &planner, &machine, &addr, session, orders).await;
                 });
             }
-            Action::Record(name, record) => {
+            Action::Record(name, mut record) => {
+                record.recorded_ms = wall_ms();
                 // Conditional on the planner record: a planner that was replaced can't add
                 // machines that its successor doesn't know.
                 let version = self.version.get();
@@ -592,7 +593,15 @@
                 let version = self.version.get();
                 tokio::task::spawn_local(async move {
                     let txn = Txn::default().when(PLANNER, version).delete(machine_key(&name));
-                    let _ = node.state.txn(Use::Housekeeping, &txn).await;
+                    // A record that is left over holds up the next take-over, so this is tried
+                    // until it succeeds or another plans.
+                    while let Err(error) = node.state.txn(Use::Housekeeping, &txn).await {
+                        tracing::debug!(machine = %name, %error, "can't drop a machine's record");
+                        if matches!(error, StateError::Conflict(_)) {
+                            break;
+                        }
+                        node.pause(500..1500).await;
+                    }
                 });
             }
             Action::Rent(request) => {
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -56,6 +56,13 @@
         tokio::time::sleep(Duration::from_millis(ms)).await;
     }
 
+    /// How long ago another controller noted this time of day, at the least.
+    pub fn age_at_least(&self, noted_ms: u64) -> Duration {
+        let off_ms = 2.0 * self.settings.platform.params.clock_off_ms.max(0.0);
+        let age = Duration::from_millis(wall_ms().saturating_sub(noted_ms));
+        age.saturating_sub(Duration::try_from_secs_f64(off_ms / 1000.0).unwrap_or_default())
+    }
+
     pub fn random(&self) -> u64 {
         self.rng.borrow_mut().random()
     }
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use corkfield_fakes::{Fault, Plan};
-use corkfield_wire::records::{final_key, job_key};
+use corkfield_wire::records::{final_key, job_key, machine_key};
 use corkfield_wire::store::PATH_TXN;
 use corkfield_wire::user::{JobView, PATH_JOBS, PATH_READY};
 use corkfield_wire::{JobStatus, Priority};
@@ -45,20 +45,27 @@
 #[test]
 fn after_a_crash_of_all_controllers_tasks_go_on_where_they_were() {
     story(2, |world| async move {
-        let job = spec(1, 12);
-        world.submit(&job, 25.0).await;
+        // More jobs than one claim takes: those not claimed yet must not lose their tasks.
+        let jobs: Vec<_> = (1..15).map(|n| spec(n, 1)).collect();
+        for job in &jobs {
+            world.submit(job, 25.0).await;
+        }
         secs(6.0).await;
-        assert_eq!(world.ledger.running(&job.id), 12);
         for n in 0..NODES.len() {
             world.kill(n);
         }
         secs(2.0).await;
+        // Claims take their time.
+        world.store.set_faults(|request| match request.path() {
+            PATH_TXN => Fault::Slow(0.8),
+            _ => Fault::None,
+        });
         for n in 0..NODES.len() {
             world.start(n);
         }
-        world.until_done(&job.id, 60.0).await;
-        for index in 0..12 {
-            assert_eq!(world.ledger.started(&task(&job, index)), 1, "nothing was started again");
+        for job in &jobs {
+            world.until_done(&job.id, 60.0).await;
+            assert_eq!(world.ledger.started(&task(job, 0)), 1, "nothing was started again");
         }
     });
 }
@@ -158,6 +165,53 @@
     });
 }
 
+#[test]
+fn a_planner_whose_lease_may_have_ended_starts_nothing() {
+    story(2, |world| async move {
+        let job = spec(1, 400);
+        world.submit(&job, 1.0).await;
+        secs(5.0).await;
+        let old = world.planner_node();
+        // Nobody else reaches the workers, so nobody fences them.
+        for n in (0..NODES.len()).filter(|n| *n != old) {
+            for worker in world.cloud.workers() {
+                world.net.cut(NODES[n], &worker.settings.name);
+            }
+        }
+        world.refused[old].set(true);
+        let before = world.ledger.starts_in_all();
+        secs(6.0).await;
+        assert!(world.ledger.starts_in_all() > before, "its lease goes on for a while");
+        secs(6.0).await;
+        assert_ne!(world.planner_node(), old);
+        let starts = world.ledger.starts_in_all();
+        secs(4.0).await;
+        assert_eq!(world.ledger.starts_in_all(), starts, "S4");
+    });
+}
+
+#[test]
+fn a_machine_that_went_while_the_store_was_down_holds_up_no_take_over() {
+    story(3, |world| async move {
+        let job = spec(1, 60);
+        world.submit(&job, 4.0).await;
+        secs(4.0).await;
+        world.store.set_down(true);
+        let victim = world.cloud.workers()[0].settings.name.clone();
+        world.cloud.take(&victim);
+        secs(11.0).await;
+        world.store.set_down(false);
+        secs(2.5).await;
+        assert!(
+            world.store.get(&machine_key(&victim)).is_none(),
+            "its record is dropped after all"
+        );
+        let planner = world.planner_node();
+        world.restart(planner, 0.3).await;
+        world.until_done(&job.id, 60.0).await;
+    });
+}
+
 #[test]
 fn a_planner_that_no_worker_reaches_hands_over() {
     story(2, |world| async move {
--- a/crates/fakes/src/ledger.rs
+++ b/crates/fakes/src/ledger.rs
@@ -105,6 +105,10 @@
         self.starts.borrow().get(task).copied().unwrap_or(0)
     }
 
+    pub fn starts_in_all(&self) -> u32 {
+        self.starts.borrow().values().sum()
+    }
+
     pub fn broken_rules(&self) -> Vec<String> {
         self.broken.borrow().clone()
     }
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Fault {
     None,
+    /// Executed after this many seconds, and answered.
+    Slow(f64),
     /// Executed, but the answer is lost.
     LoseAnswer,
     /// Executed after this many seconds; nobody hears of it.
@@ -152,6 +154,10 @@
         let fault = self.chooser.borrow().as_ref().map_or(Fault::None, |choose| choose(&request));
         match fault {
             Fault::None => self.answer(&request, &refused).await,
+            Fault::Slow(seconds) => {
+                sleep(seconds).await;
+                self.answer(&request, &refused).await
+            }
             Fault::LoseAnswer => {
                 self.answer(&request, &refused).await;
                 std::future::pending().await
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -140,6 +140,9 @@
     pub machine_type: String,
     pub zone: String,
     pub spot: bool,
+    /// Time of day of this record, in milliseconds since 1970.
+    #[serde(default)]
+    pub recorded_ms: u64,
 }
 
 /// Workers came to this controller although it sent them to the planner.
