--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -17,6 +17,8 @@
 /// A task expected to end sooner than this is not stopped for another.
 const NEARLY_DONE_S: f64 = 6.0;
 
+/// Work that is not urgent stops nothing that was placed more recently than this.
+const SETTLING_IN_S: f64 = 10.0;
 /// The part of an aim's time that passes before work is stopped for a job that waits.
 const PATIENCE: f64 = 0.55;
 
@@ -326,6 +328,7 @@
             let team = job.team;
             let one = Usage::of(&spec, 1);
             let guaranteed = within_guarantee(&self.config.teams[team], usage[team].plus(one));
+            let mine = self.standing(job, usage[team].plus(one));
             let waited = now.saturating_duration_since(job.accepted_at);
             if waited < self.patience(job, guaranteed) {
                 continue;
@@ -366,12 +369,16 @@
                     let owed = other.team != team
                         && within_guarantee(&self.config.teams[team], usage[team].plus(one))
                         && self.beyond_guarantee(other.team, usage);
-                    if !(lower || owed) {
+                    if !(lower || owed) || mine >= self.standing(other, usage[other.team]) {
                         continue;
                     }
                     let ran = now.saturating_duration_since(held.since).as_secs_f64();
                     let run_s = other.expected_run_s(self.correction(&other.spec().class));
                     let running = held.state == HeldState::Running;
+                    // Starts that are soon undone help nobody.
+                    if spec.priority > Priority::High && ran < SETTLING_IN_S {
+                        continue;
+                    }
                     // A task far beyond its expected time tells nothing about its end.
                     let overdue = ran > run_s * 1.3;
                     if running && run_s - ran < NEARLY_DONE_S && !overdue {
@@ -436,6 +443,15 @@
         }
     }
 
+    /// Where a job stands in the queue, the best first. Work is only stopped for a job that
+    /// stands before it: otherwise each would be placed before the other and stopped for it,
+    /// again and again.
+    fn standing(&self, job: &Job, usage: Usage) -> (bool, bool, Priority) {
+        let urgent = job.spec().priority <= Priority::High;
+        let guaranteed = within_guarantee(&self.config.teams[job.team], usage);
+        (!urgent, !guaranteed, job.spec().priority)
+    }
+
     fn beyond_guarantee(&self, team: usize, usage: &[Usage]) -> bool {
         let team_settings = &self.config.teams[team];
         let has = team_settings.cpus > 0.0 || team_settings.gpus > 0.0;
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -5,7 +5,7 @@
 use corkfield_wire::records::{JobRecord, MachineRecord};
 use corkfield_wire::settings::Team;
 use corkfield_wire::worker::{ExitCause, Order, Report, TaskPhase, TaskReport};
-use corkfield_wire::{JobId, JobSpec, TaskId, TaskSet};
+use corkfield_wire::{JobId, JobSpec, Priority, TaskId, TaskSet};
 use std::time::{Duration, Instant};
 
 fn config() -> Config {
@@ -22,9 +22,8 @@
     }
 }
 
-fn planner(term: u64) -> Planner {
-    let mut planner = Planner::new(config(), term, 1);
-    planner.set_types(vec![MachineType {
+fn machine_type() -> MachineType {
+    MachineType {
         name: "box".into(),
         cpus: 4.0,
         gpus: 0.0,
@@ -35,7 +34,12 @@
         spot_price: 0.4,
         boot_s: 5.0,
         zones: vec!["z".into()],
-    }]);
+    }
+}
+
+fn planner(term: u64) -> Planner {
+    let mut planner = Planner::new(config(), term, 1);
+    planner.set_types(vec![machine_type()]);
     planner
 }
 
@@ -217,3 +221,52 @@
         }
     }
 }
+
+#[test]
+fn two_jobs_never_stop_each_other_in_turn() {
+    let start = Instant::now();
+    let mut config = config();
+    let guaranteed = Team { name: "g".into(), cpus: 3.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
+    config.teams.push(guaranteed);
+    let mut planner = Planner::new(config, 1, 1);
+    planner.set_types(vec![machine_type()]);
+    planner.on_report(&report(1, 1, Vec::new()), true, start);
+    planner.machine_recorded("host-1", true);
+    // Idle work within a guarantee against normal work without one.
+    let mut idle = record(30, 1);
+    (idle.spec.team, idle.spec.priority) = ("g".into(), Priority::Low);
+    idle.spec.estimate_s = 300.0;
+    let mut normal = record(30, 1);
+    normal.spec.id = JobId::parse("j-000002").expect("an id");
+    normal.spec.estimate_s = 300.0;
+    planner.claimed(idle, TaskSet::default(), 5, Duration::ZERO, start);
+    planner.claimed(normal, TaskSet::default(), 6, Duration::ZERO, start);
+    let mut running: Vec<TaskReport> = Vec::new();
+    let mut starts = 0;
+    for second in 1..240 {
+        let now = start + Duration::from_secs(second);
+        planner.on_report(&report(second + 1, 1, running.clone()), true, now);
+        planner.plan(now);
+        for order in planner.orders("host-1", 1, second + 1, true, now) {
+            match order {
+                Order::Start { task, attempt } => {
+                    starts += 1;
+                    let phase = TaskPhase::Running;
+                    running.push(TaskReport { task, attempt, phase, cause: None, saved: None });
+                }
+                Order::Stop { task, attempt, .. } => {
+                    for known in
+                        running.iter_mut().filter(|t| t.task == task && t.attempt == attempt)
+                    {
+                        known.phase = TaskPhase::Exited;
+                        known.cause = Some(ExitCause::Stopped);
+                    }
+                }
+                Order::Forget { task, attempt } => {
+                    running.retain(|t| !(t.task == task && t.attempt == attempt));
+                }
+            }
+        }
+    }
+    assert!(starts <= 8, "{starts} starts for four places");
+}
