Pass reports on to the planner for workers that don't reach it; run times only when prompt

A worker that is soon back after being sent to the planner has its report passed on over the link between controllers. Its story found that a machine that could not report for a while was taken for a slow one, and got no more work: run times now count only if both ends were reported at once and this planner started the task.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -53,6 +53,8 @@
     /// What it takes; unknown for tasks of jobs that are not known any more.
     pub spec: Option<Need>,
     pub team: Option<usize>,
+    /// Started by this planner, so that its run time is known.
+    pub(crate) ours: bool,
     /// The grace to stop it with, once it has to go.
     pub stop: Option<Duration>,
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -237,6 +237,7 @@
                 since: now,
                 spec: Some(need),
                 team: Some(job.team),
+                ours: true,
                 stop: None,
             };
             if machine.held.is_empty() {
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -422,6 +422,8 @@
             return Verdict::Stale;
         }
         machine.addr.clone_from(&report.addr);
+        let gap = machine.heard_at.map(|at| now.saturating_duration_since(at));
+        let prompt = gap.is_some_and(|gap| gap <= self.config.report_interval.mul_f64(1.5));
         machine.heard_at = Some(now);
         machine.notice = report.notice_s.is_some();
         if machine.state() == MachineState::Booting {
@@ -449,7 +451,7 @@
             };
             self.actions.push(Action::Record(name.clone(), record));
         }
-        self.sync_tasks(&name, report, own_report, now);
+        self.sync_tasks(&name, report, own_report, prompt, now);
         self.unfenced.remove(&name);
         if report.notice_s.is_some() {
             self.drain_noticed(&name);
@@ -457,11 +459,18 @@
         Verdict::Accept
     }
 
-    fn sync_tasks(&mut self, name: &str, report: &Report, own_report: bool, now: Instant) {
+    fn sync_tasks(
+        &mut self,
+        name: &str,
+        report: &Report,
+        own_report: bool,
+        prompt: bool,
+        now: Instant,
+    ) {
         let mut reported: BTreeSet<(TaskId, u64)> = BTreeSet::new();
         for task in &report.tasks {
             reported.insert((task.task.clone(), task.attempt));
-            self.sync_task(name, task, now);
+            self.sync_task(name, task, prompt, now);
         }
         let (session, seq) = (report.session, report.seq);
         let missing = |key: &(TaskId, u64), held: &Held| {
@@ -485,7 +494,7 @@
         }
     }
 
-    fn sync_task(&mut self, name: &str, task: &TaskReport, now: Instant) {
+    fn sync_task(&mut self, name: &str, task: &TaskReport, prompt: bool, now: Instant) {
         let key = (task.task.clone(), task.attempt);
         let job = self.jobs.get_mut(&task.task.job);
         let Some(machine) = self.machines.get_mut(name) else {
@@ -504,6 +513,7 @@
             since: now,
             spec: None,
             team: None,
+            ours: false,
             stop: None,
         });
         if before.is_none_or(|(known, _)| known != state) {
@@ -523,6 +533,9 @@
                     machine.failures = 0;
                     machine.failed_jobs.clear();
                     machine.completed += 1;
+                    // A run time is known only if its beginning and its end were reported at
+                    // once: a machine that couldn't report for a while is not a slow one.
+                    let before = before.filter(|_| held.ours && prompt);
                     if let Some((HeldState::Running, since)) = before {
                         let ran = now.duration_since(since).as_secs_f64();
                         Self::note_run(&mut self.corrections, job, machine, ran);
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -5,6 +5,7 @@
 use crate::peers::Peers;
 use crate::presence::Presence;
 use crate::settings::Settings;
+use crate::workers::Strays;
 use crate::{follow, leader, peers, presence, users, workers};
 use corkfield_cloud::CloudClient;
 use corkfield_http::{serve, Limits, Listener, Network, Request, Response};
@@ -30,6 +31,7 @@
     pub presence: Presence,
     pub leader: Leader,
     pub peers: Peers,
+    pub strays: Strays,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -109,6 +111,7 @@
         presence: Presence::default(),
         leader: Leader::default(),
         peers: Peers::default(),
+        strays: Strays::default(),
         settings,
     });
     tracing::info!(node = %node.name, listen = %platform.listen, "controller started");
@@ -121,7 +124,7 @@
     tokio::task::spawn_local(serve(users_listener, limits, Rc::new(handler)));
     tokio::task::spawn_local(peers::listen(node.clone(), peers_listener));
     for peer in &platform.peers {
-        tokio::task::spawn_local(peers::talk(node.clone(), peer.addr));
+        tokio::task::spawn_local(peers::talk(node.clone(), peer.node.clone(), peer.addr));
     }
     tokio::task::spawn_local(follow::watch(node.clone()));
     tokio::task::spawn_local(follow::refresher(node.clone()));
--- a/crates/corkfield/src/peers.rs
+++ b/crates/corkfield/src/peers.rs
@@ -1,23 +1,35 @@
-//! The link between controllers.
+//! The link between controllers: greetings, and reports of workers that can't reach the planner.
 
 use crate::node::{now, Node};
-use corkfield_http::{Listener, Stream};
+use crate::workers;
+use corkfield_http::{Listener, Response, Stream};
 use corkfield_wire::peer::{Frame, Hello, MAX_FRAME};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 const INTERVAL: Duration = Duration::from_secs(1);
 const SILENCE: Duration = Duration::from_secs(4);
+/// A worker gives a report up after 4 s.
+const RELAY_LIMIT: Duration = Duration::from_millis(3500);
 const MAX_LINKS: usize = 32;
+/// Frames that may wait for one link, and reports that may be under way in all.
+const MAX_WAITING: usize = 64;
+const MAX_PENDING: usize = 256;
+
+type Pending = oneshot::Sender<Response>;
 
 #[derive(Default)]
 pub struct Peers {
     heard: RefCell<BTreeMap<String, (Hello, Instant)>>,
+    links: RefCell<BTreeMap<String, mpsc::Sender<Frame>>>,
+    pending: RefCell<BTreeMap<u64, Pending>>,
+    number: Cell<u64>,
 }
 
 impl Peers {
@@ -33,6 +45,33 @@
         let recent = |at: &Instant| now().saturating_duration_since(*at) < SILENCE;
         self.heard.borrow().values().any(|(hello, at)| hello.store_ok && recent(at))
     }
+
+    /// Passes a report on to the planner, and brings its answer. It is the planner's own
+    /// answer, under its term; a worker counts its lease from when it sent the report, so the
+    /// way round makes no lease longer, and it drops an answer that comes too late.
+    pub async fn relay(&self, planner: &str, body: &[u8]) -> Option<Response> {
+        let link = self.links.borrow().get(planner).cloned()?;
+        if self.pending.borrow().len() >= MAX_PENDING {
+            return None;
+        }
+        let number = self.number.get() + 1;
+        self.number.set(number);
+        let (sender, receiver) = oneshot::channel();
+        self.pending.borrow_mut().insert(number, sender);
+        let sent = link.try_send(Frame::Report { number, body: body.to_vec() });
+        let answer = match sent {
+            Ok(()) => timeout(RELAY_LIMIT, receiver).await.ok().and_then(Result::ok),
+            Err(_) => None,
+        };
+        self.pending.borrow_mut().remove(&number);
+        answer
+    }
+
+    fn answered(&self, number: u64, response: Response) {
+        if let Some(waiting) = self.pending.borrow_mut().remove(&number) {
+            let _ = waiting.send(response);
+        }
+    }
 }
 
 pub async fn listen(node: Rc<Node>, listener: Box<dyn Listener>) {
@@ -43,7 +82,7 @@
                 let (node, link) = (node.clone(), links.clone());
                 tokio::task::spawn_local(async move {
                     let _link = link;
-                    hear(&node, stream).await;
+                    hear(node, stream).await;
                 });
             }
             Ok(stream) => drop(stream),
@@ -52,16 +91,72 @@
     }
 }
 
-async fn hear(node: &Node, mut stream: Stream) {
-    while let Ok(Ok(frame)) = timeout(SILENCE * 2, read_frame(&mut stream)).await {
-        match frame {
-            Some(Frame::Hello(hello)) => node.peers.hear(hello),
-            None => return,
+/// Takes what another controller says on the link that it opened.
+async fn hear(node: Rc<Node>, stream: Stream) {
+    let (mut reader, writer) = tokio::io::split(stream);
+    let (answers, waiting) = mpsc::channel(MAX_WAITING);
+    let writing = write_frames(writer, waiting);
+    let reading = async {
+        while let Ok(Ok(Some(frame))) = timeout(SILENCE * 2, read_frame(&mut reader)).await {
+            match frame {
+                Frame::Hello(hello) => node.peers.hear(hello),
+                Frame::Report { number, body } => {
+                    let (node, answers) = (node.clone(), answers.clone());
+                    tokio::task::spawn_local(async move {
+                        let Response { status, body, .. } = workers::relayed(&node, &body).await;
+                        let _ = answers.try_send(Frame::Answer { number, status, body });
+                    });
+                }
+                Frame::Answer { .. } => return,
+            }
+        }
+    };
+    tokio::select! {
+        () = reading => {}
+        () = writing => {}
+    }
+}
+
+/// Keeps a link to a peer: greets it again and again, and passes reports on.
+pub async fn talk(node: Rc<Node>, peer: String, addr: SocketAddr) {
+    loop {
+        if let Ok(Ok(stream)) = timeout(INTERVAL * 2, node.network.connect(addr)).await {
+            let (mut reader, writer) = tokio::io::split(stream);
+            let (frames, waiting) = mpsc::channel(MAX_WAITING);
+            node.peers.links.borrow_mut().insert(peer.clone(), frames.clone());
+            let greeting = async {
+                while frames.try_send(Frame::Hello(hello(&node))).is_ok() {
+                    tokio::time::sleep(INTERVAL).await;
+                }
+            };
+            let reading = async {
+                while let Ok(Some(frame)) = read_frame(&mut reader).await {
+                    if let Frame::Answer { number, status, body } = frame {
+                        node.peers.answered(number, Response::new(status, body));
+                    }
+                }
+            };
+            tokio::select! {
+                () = greeting => {}
+                () = reading => {}
+                () = write_frames(writer, waiting) => {}
+            }
+            node.peers.links.borrow_mut().remove(&peer);
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+async fn write_frames(mut writer: WriteHalf<Stream>, mut frames: mpsc::Receiver<Frame>) {
+    while let Some(frame) = frames.recv().await {
+        let written = timeout(INTERVAL * 2, writer.write_all(&frame.encode())).await;
+        if !matches!(written, Ok(Ok(()))) {
+            return;
         }
     }
 }
 
-async fn read_frame(stream: &mut Stream) -> std::io::Result<Option<Frame>> {
+async fn read_frame(stream: &mut ReadHalf<Stream>) -> std::io::Result<Option<Frame>> {
     let length = stream.read_u32_le().await? as usize;
     if length > MAX_FRAME {
         tracing::debug!(length, "oversized frame from a peer");
@@ -78,22 +173,6 @@
     }
 }
 
-/// Tells a peer how we are, again and again.
-pub async fn talk(node: Rc<Node>, addr: SocketAddr) {
-    loop {
-        if let Ok(Ok(mut stream)) = timeout(INTERVAL * 2, node.network.connect(addr)).await {
-            loop {
-                let bytes = Frame::Hello(hello(&node)).encode();
-                match timeout(INTERVAL * 2, stream.write_all(&bytes)).await {
-                    Ok(Ok(())) => tokio::time::sleep(INTERVAL).await,
-                    _ => break,
-                }
-            }
-        }
-        tokio::time::sleep(INTERVAL).await;
-    }
-}
-
 fn hello(node: &Node) -> Hello {
     let cache = node.follower.cache.borrow();
     let planner = cache.planner.as_ref().map(|(record, _)| record);
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -3,12 +3,47 @@
 use crate::node::{error, json, later, now, Node};
 use corkfield_core::Verdict;
 use corkfield_http::Response;
-use corkfield_wire::worker::{Redirect, Report, ReportReply};
-use std::time::Duration;
+use corkfield_wire::worker::{Order, Redirect, Report, ReportReply};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// A report that comes in the middle of a take-over waits this long for it.
 const TAKE_OVER_WAIT: Duration = Duration::from_millis(1500);
+/// A worker that is back this soon after it was sent to the planner didn't reach it.
+const BACK_SOON: Duration = Duration::from_secs(12);
+/// After this a worker whose reports are passed on tries the planner itself again.
+const TRY_AGAIN: Duration = Duration::from_secs(60);
+const MAX_STRAYS: usize = 2000;
 
+/// Workers that were sent to the planner, and since when those that came back are passed on.
+#[derive(Default)]
+pub struct Strays(RefCell<BTreeMap<String, (Instant, Option<Instant>)>>);
+
+impl Strays {
+    /// Notes a worker's visit; true if its report should be passed on.
+    fn visits(&self, machine: &str) -> bool {
+        let at = now();
+        let mut strays = self.0.borrow_mut();
+        strays.retain(|_, (seen, _)| at.saturating_duration_since(*seen) < BACK_SOON);
+        let Some((seen, since)) = strays.get_mut(machine) else {
+            if strays.len() < MAX_STRAYS {
+                strays.insert(machine.to_owned(), (at, None));
+            }
+            return false;
+        };
+        *seen = at;
+        let since = *since.get_or_insert(at);
+        if at.saturating_duration_since(since) > TRY_AGAIN {
+            strays.insert(machine.to_owned(), (at, None));
+            return false;
+        }
+        true
+    }
+}
+
+/// A worker's report to this controller.
 pub async fn report(node: &Node, body: &[u8]) -> Response {
     let report: Report = match serde_json::from_slice(body) {
         Ok(report) => report,
@@ -17,15 +52,59 @@
     if node.leader.is_leading() && !node.leader.is_ready() {
         let _ = tokio::time::timeout(TAKE_OVER_WAIT, node.leader.until_ready()).await;
     }
+    if node.leader.is_ready() {
+        return plan_for(node, &report).await;
+    }
+    let planner = planner_elsewhere(node);
+    if let Some(planner) = &planner {
+        if node.strays.visits(&report.machine) {
+            if let Some(response) = node.peers.relay(planner, body).await {
+                return passed_on(node, response);
+            }
+        }
+        node.leader.knocked(node.follower.planner_known_for());
+    }
+    json(421, &Redirect { report_to: planner })
+}
+
+/// A report that another controller passed on to this one, as the planner.
+pub async fn relayed(node: &Node, body: &[u8]) -> Response {
+    match serde_json::from_slice(body) {
+        Ok(report) if node.leader.is_ready() => plan_for(node, &report).await,
+        _ => later("not the planner"),
+    }
+}
+
+/// The planner's answer goes to the worker as it is, but for starts that don't match the job's
+/// record as it is known here.
+fn passed_on(node: &Node, response: Response) -> Response {
+    if response.status != 200 {
+        return later("the planner has no answer");
+    }
+    let Ok(mut reply) = serde_json::from_slice::<ReportReply>(&response.body) else {
+        return later("the planner's answer is unreadable");
+    };
+    let cache = node.follower.cache.borrow();
+    reply.orders.retain(|order| match order {
+        Order::Start { task, attempt } => {
+            let record = cache.jobs.get(&task.job).map(|(record, _)| record);
+            record.is_some_and(|record| record.generation == attempt >> 24)
+        }
+        _ => true,
+    });
+    json(200, &reply)
+}
+
+async fn plan_for(node: &Node, report: &Report) -> Response {
     let Some(planner) = node.leader.planner() else {
-        return redirect(node);
+        return json(421, &Redirect { report_to: None });
     };
     // S6: without fresh state a cancellation may have been missed; the machines' leases have
     // to run out while there is time.
     if node.follower.proof_age() >= node.settings.answer_limit() {
         return later("no fresh state");
     }
-    let verdict = planner.borrow_mut().on_report(&report, true, now());
+    let verdict = planner.borrow_mut().on_report(report, true, now());
     match verdict {
         Verdict::Accept => {}
         Verdict::Stale => return later("stale report"),
@@ -43,9 +122,9 @@
         node.leader.release(&report.machine, &work);
     }
     // The planner may have changed while the answer was held back.
-    let same = node.leader.planner().is_some_and(|p| std::rc::Rc::ptr_eq(&p, &planner));
+    let same = node.leader.planner().is_some_and(|p| Rc::ptr_eq(&p, &planner));
     if !same || node.follower.proof_age() >= node.settings.answer_limit() {
-        return redirect(node);
+        return json(421, &Redirect { report_to: planner_elsewhere(node) });
     }
     let may_start = node.presence.is_valid();
     let mut planner = planner.borrow_mut();
@@ -54,17 +133,11 @@
     json(200, &ReportReply { term: planner.term(), orders })
 }
 
-/// Sends the worker to the planner, if that is another controller that is there.
-fn redirect(node: &Node) -> Response {
+/// The planner, if it is another controller that is there.
+fn planner_elsewhere(node: &Node) -> Option<String> {
     let cache = node.follower.cache.borrow();
-    let report_to = cache.planner.as_ref().and_then(|(record, _)| {
-        let name = record.node.clone().filter(|name| *name != node.name)?;
-        let (presence, _) = cache.controllers.get(&name)?;
-        (presence.incarnation == record.incarnation).then_some(name)
-    });
-    drop(cache);
-    if report_to.is_some() {
-        node.leader.knocked(node.follower.planner_known_for());
-    }
-    json(421, &Redirect { report_to })
+    let (record, _) = cache.planner.as_ref()?;
+    let name = record.node.clone().filter(|name| *name != node.name)?;
+    let (presence, _) = cache.controllers.get(&name)?;
+    (presence.incarnation == record.incarnation).then_some(name)
 }
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -263,6 +263,25 @@
     });
 }
 
+#[test]
+fn a_worker_that_does_not_reach_the_planner_reports_by_way_of_another_controller() {
+    story(2, |world| async move {
+        let job = spec(1, 160);
+        world.submit(&job, 5.0).await;
+        secs(4.0).await;
+        let planner = world.planner_node();
+        let cut_off = world.cloud.workers()[0].clone();
+        world.net.cut(NODES[planner], &cut_off.settings.name);
+        secs(12.0).await;
+        let before = world.ledger.starts_on(&cut_off.settings.name);
+        secs(12.0).await;
+        assert!(world.ledger.starts_on(&cut_off.settings.name) > before, "it is given work");
+        assert_eq!(cut_off.session(), 1, "its lease never ran out");
+        assert_eq!(world.planner_node(), planner, "others reach the planner, so it stays");
+        world.until_done(&job.id, 120.0).await;
+    });
+}
+
 #[test]
 fn a_short_outage_of_the_store_stops_no_task_and_a_long_one_loses_no_job() {
     story(2, |world| async move {
--- a/crates/fakes/src/ledger.rs
+++ b/crates/fakes/src/ledger.rs
@@ -25,6 +25,7 @@
     teams: RefCell<Vec<Team>>,
     broken: RefCell<Vec<String>>,
     starts: RefCell<BTreeMap<TaskId, u32>>,
+    starts_on: RefCell<BTreeMap<String, u32>>,
     pub cancel_after: std::cell::Cell<Duration>,
 }
 
@@ -62,6 +63,7 @@
             self.note(format!("ran_twice: {task} on {other} and {machine}"));
         }
         *self.starts.borrow_mut().entry(task.clone()).or_default() += 1;
+        *self.starts_on.borrow_mut().entry(machine.to_owned()).or_default() += 1;
         self.check_cancelled(task);
         let Some(plan) = self.plan(&task.job) else { return };
         let team = self.teams.borrow().iter().find(|t| t.name == plan.spec.team).cloned();
@@ -105,6 +107,10 @@
         self.starts.borrow().get(task).copied().unwrap_or(0)
     }
 
+    pub fn starts_on(&self, machine: &str) -> u32 {
+        self.starts_on.borrow().get(machine).copied().unwrap_or(0)
+    }
+
     pub fn starts_in_all(&self) -> u32 {
         self.starts.borrow().values().sum()
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -21,9 +21,20 @@
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Frame {
     Hello(Hello),
+    /// A worker's report, passed on to the planner by a controller that the worker can reach.
+    Report {
+        number: u64,
+        body: Vec<u8>,
+    },
+    /// The planner's answer to it.
+    Answer {
+        number: u64,
+        status: u16,
+        body: Vec<u8>,
+    },
 }
 
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
     #[error("unknown peer version {0}")]
     Version(u8),
@@ -51,3 +62,19 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_survive_a_round_trip_and_nonsense_is_refused() {
+        let frame = Frame::Answer { number: 7, status: 200, body: b"{}".to_vec() };
+        let bytes = frame.encode();
+        assert_eq!(usize::from(bytes[0]), bytes.len() - 4);
+        assert_eq!(Frame::decode(&bytes[4..]), Ok(frame));
+        assert_eq!(Frame::decode(&[9, 0]), Err(FrameError::Version(9)));
+        assert_eq!(Frame::decode(&[VERSION, 250, 1]), Err(FrameError::Malformed));
+        assert_eq!(Frame::decode(&[]), Err(FrameError::Malformed));
+    }
+}
