--- a/crates/cloud/src/lib.rs
+++ b/crates/cloud/src/lib.rs
@@ -38,8 +38,9 @@
 
 impl CloudClient {
     pub fn new(network: Rc<dyn Network>, addr: SocketAddr, rps: f64) -> Self {
-        // Two planners may overlap for a moment at a take-over, hence not the whole rate.
-        let budget = Budget::new(rps * 0.7, rps);
+        // Two planners may overlap for a moment at a take-over, hence not the whole rate, nor
+        // the whole of the two seconds' worth that may come at once.
+        let budget = Budget::new(rps * 0.75, rps * 1.5);
         Self { http: Client::new(network, addr, CONNECTIONS, MAX_BODY), budget }
     }
 
@@ -80,8 +81,7 @@
     }
 
     pub async fn rent(&self, request: &RentRequest) -> Result<Vec<String>, CloudError> {
-        let names: MachineNames =
-            self.call(Use::Submission, "POST", PATH_MACHINES, request).await?;
+        let names: MachineNames = self.call(Use::Lease, "POST", PATH_MACHINES, request).await?;
         Ok(names.machines)
     }
 
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -26,6 +26,9 @@
 /// Other controllers leave the named successor this long to take over.
 const SUCCESSOR_HEAD_START: Duration = Duration::from_secs(2);
 
+/// Machines are rented and returned this often, or that soon after a claim.
+const ADJUST: Duration = Duration::from_secs(1);
+const ADJUST_SOON: Duration = Duration::from_millis(200);
 /// A planner known for this long has heard from all workers that reach it.
 const SETTLED: Duration = Duration::from_secs(10);
 
@@ -215,6 +218,7 @@
     me: Current,
     /// Version of the planner record that this claim rests on.
     version: Cell<u64>,
+    claimed: Notify,
 }
 
 async fn plan(node: &Rc<Node>, me: &Current, version: u64, term: u64) -> End {
@@ -225,6 +229,7 @@
         planner: Rc::new(RefCell::new(planner)),
         me: me.clone(),
         version: Cell::new(version),
+        claimed: Notify::new(),
     };
     let types = node.follower.cache.borrow().types.clone();
     if let Some(types) = types {
@@ -434,6 +439,7 @@
             planner.claimed(record, finished, version, age, now());
             planner.plan(now());
         }
+        self.claimed.notify_one();
         self.node.leader.actions.notify_one();
         true
     }
@@ -624,15 +630,19 @@
     }
 
     async fn ticking(&self) {
-        let mut adjusted = now();
+        let mut adjusted = None;
         loop {
-            tokio::time::sleep(Duration::from_millis(250)).await;
+            // A claim is followed by a look at the machines without delay: boots take long.
+            let claimed = self.claimed.notified();
+            let woken = tokio::time::timeout(Duration::from_millis(250), claimed).await.is_ok();
             let at = now();
             let mut planner = self.planner.borrow_mut();
             planner.tick(at);
             planner.plan(at);
-            if at.saturating_duration_since(adjusted) >= Duration::from_secs(1) {
-                adjusted = at;
+            let age = adjusted.map(|before| at.saturating_duration_since(before));
+            let due = if woken { ADJUST_SOON } else { ADJUST };
+            if age.is_none_or(|age| age >= due) {
+                adjusted = Some(at);
                 planner.adjust_machines(at);
             }
             drop(planner);
