--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -247,6 +247,10 @@
         let now = start + Duration::from_secs(second);
         planner.on_report(&report(second + 1, 1, running.clone()), true, now);
         planner.plan(now);
+        if second == 1 {
+            let ahead = planner.job(&id()).expect("claimed").active().len();
+            assert_eq!(ahead, 3, "ahead of others only as far as the guarantee goes");
+        }
         for order in planner.orders("host-1", 1, second + 1, true, now) {
             match order {
                 Order::Start { task, attempt } => {
--- a/crates/corkfield/src/presence.rs
+++ b/crates/corkfield/src/presence.rs
@@ -43,11 +43,9 @@
 /// Takes a lease and renews it for ever; a lost one is replaced under a new incarnation.
 pub async fn keep(node: Rc<Node>) {
     let ttl = Duration::from_secs_f64(node.settings.operator.lease_s);
-    let mut first = true;
     loop {
-        match enter(&node, ttl, first).await {
+        match enter(&node, ttl).await {
             Ok(current) => {
-                first = false;
                 tracing::info!(incarnation = %current.incarnation, lease = current.lease, "lease taken");
                 let lease = current.lease;
                 node.presence.set(Some(current));
@@ -64,16 +62,9 @@
     }
 }
 
-async fn enter(node: &Node, ttl: Duration, first: bool) -> Result<Current, StateError> {
+async fn enter(node: &Node, ttl: Duration) -> Result<Current, StateError> {
     let key = controller_key(&node.name);
-    let found = node.state.get(Use::Lease, &key).await?;
-    if let Some(old) = found.as_ref().filter(|_| first) {
-        // What a former process of this controller left: that process is gone, so its lease
-        // can end at once and nobody has to wait for it.
-        if let Ok(record) = serde_json::from_value::<Record>(old.value.clone()) {
-            node.state.revoke(record.lease).await?;
-        }
-    }
+    // What a former process of this controller left is written over: whoever it was is gone.
     let found = node.state.get(Use::Lease, &key).await?;
     let begun = now();
     let lease = node.state.grant(ttl).await?;
--- a/crates/state/src/client.rs
+++ b/crates/state/src/client.rs
@@ -138,11 +138,6 @@
         }
     }
 
-    pub async fn revoke(&self, lease: u64) -> Result<(), StateError> {
-        let target = format!("{PATH_LEASES}/{lease}");
-        self.send(Use::Lease, "DELETE", &target, b"", self.timeout).await.map(|_| ())
-    }
-
     /// Changes after a revision; waits up to `wait` for the first.
     pub async fn changes(
         &self,
