Claim the planner record anew when one's own claim went unanswered; supervise the loops

A claim whose answer was lost had named this controller as the planner; it did not plan, and nobody else could claim while it was there. A fault in one of the main loops now starts that loop again from what is stored.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -14,8 +14,6 @@
     pub answer_limit: Duration,
     /// The cloud's list describes a moment up to twice this long ago.
     pub list_lag: Duration,
-    /// Claims that a job may have without progress.
-    pub claim_limit: u32,
     /// Machines looked at for one placement; more candidates than this are sampled.
     pub placement_sample: usize,
     /// An idle machine is kept this long before it is returned.
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -1,7 +1,7 @@
 //! A machine and everything that may be on it.
 
 use crate::team::{Usage, EPSILON};
-use corkfield_wire::cloud::{ListedState, MachineType};
+use corkfield_wire::cloud::MachineType;
 use corkfield_wire::worker::Order;
 use corkfield_wire::{JobSpec, TaskId};
 use std::collections::BTreeMap;
@@ -109,7 +109,6 @@
     /// The last moment at which a report of it can have been answered with 200.
     pub(crate) answered_at: Instant,
     pub(crate) lapsed: bool,
-    pub(crate) listed: Option<ListedState>,
     pub(crate) missing: u32,
     pub(crate) notice: bool,
     pub(crate) idle_since: Option<Instant>,
@@ -152,7 +151,6 @@
             heard_at: None,
             answered_at: now,
             lapsed: false,
-            listed: None,
             missing: 0,
             notice: false,
             idle_since: None,
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -819,7 +819,6 @@
                 machine.size = types.iter().find(|t| t.name == machine.type_name).cloned();
                 machine
             });
-            machine.listed = Some(entry.state);
             machine.missing = 0;
             if machine.addr.is_empty() {
                 machine.addr.clone_from(&entry.addr);
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -16,7 +16,6 @@
         report_interval: Duration::from_secs(2),
         answer_limit: Duration::from_secs(8),
         list_lag: Duration::from_secs(1),
-        claim_limit: 12,
         placement_sample: 64,
         idle_keep: Duration::from_secs(60),
     }
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -26,6 +26,8 @@
 /// Other controllers leave the named successor this long to take over.
 const SUCCESSOR_HEAD_START: Duration = Duration::from_secs(2);
 
+/// The planner's part of the state service's limits; the others share the rest.
+const PLANNER_SHARE: f64 = 0.6;
 /// Machines are rented and returned this often, or that soon after a claim.
 const ADJUST: Duration = Duration::from_secs(1);
 const ADJUST_SOON: Duration = Duration::from_millis(200);
@@ -123,16 +125,23 @@
     HandedOver,
 }
 
+fn standby_share(node: &Node) -> f64 {
+    let others = node.settings.platform.params.size.saturating_sub(1).max(1);
+    (1.0 - PLANNER_SHARE) / f64::from(others)
+}
+
 /// Stands by, and plans whenever the record can be claimed.
 pub async fn lead(node: Rc<Node>) {
+    node.leader.end();
+    node.state.set_share(standby_share(&node));
     loop {
         if let Some((me, version, term)) = take_over(&node).await {
             tracing::info!(term, "planning");
             node.leader.leading.set(true);
-            node.state.set_share(0.6);
+            node.state.set_share(PLANNER_SHARE);
             let end = plan(&node, &me, version, term).await;
             node.leader.end();
-            node.state.set_share(0.2);
+            node.state.set_share(standby_share(&node));
             tracing::info!(term, ?end, "no longer planning");
         }
         let changed = node.follower.changed.notified();
@@ -181,8 +190,9 @@
     let mut txn =
         Txn::default().when(PLANNER, version).when(controller_key(&node.name), me.version);
     match holder {
-        // Its holder is there.
-        Some((_, None)) => return None,
+        // Its holder is there, unless that is this controller, which does not plan: the answer
+        // to its claim was lost, or planning broke off. It claims anew, under a new term.
+        Some((key, None)) if key != controller_key(&node.name) => return None,
         Some((key, Some(version))) if key != controller_key(&node.name) => {
             txn = txn.when(key, version);
         }
@@ -376,12 +386,11 @@
             let unclaimed = unclaimed.cloned().collect();
             planner.set_unclaimed(unclaimed);
             let lapsed: HashSet<JobId> = planner.lapsed_jobs().into_iter().collect();
-            let wall = wall_ms();
             for (id, (record, version)) in &cache.jobs {
                 let known = planner.job(id);
                 let ours = record.owner.as_deref() == Some(self.me.incarnation.as_str());
                 let new = known.is_none_or(|job| *version > job.version && !ours);
-                if (new || lapsed.contains(id)) && record.not_before_ms <= wall {
+                if new || lapsed.contains(id) {
                     due.push((record.clone(), *version));
                 }
             }
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -16,6 +16,7 @@
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
 use std::cell::RefCell;
+use std::future::Future;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -126,13 +127,26 @@
     for peer in &platform.peers {
         tokio::task::spawn_local(peers::talk(node.clone(), peer.node.clone(), peer.addr));
     }
-    tokio::task::spawn_local(follow::watch(node.clone()));
-    tokio::task::spawn_local(follow::refresher(node.clone()));
-    tokio::task::spawn_local(presence::keep(node.clone()));
-    leader::lead(node).await;
+    tokio::task::spawn_local(supervise("watch", node.clone(), follow::watch));
+    tokio::task::spawn_local(supervise("refresher", node.clone(), follow::refresher));
+    tokio::task::spawn_local(supervise("presence", node.clone(), presence::keep));
+    supervise("leader", node, leader::lead).await;
     Ok(())
 }
 
+/// Runs a loop for ever. A fault in it must not end the controller, nor leave it half dead: the
+/// loop is started again from what is stored.
+async fn supervise<F>(name: &str, node: Rc<Node>, run: impl Fn(Rc<Node>) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    loop {
+        let ended = tokio::task::spawn_local(run(node.clone())).await;
+        tracing::error!(name, ?ended, "a loop ended; started again");
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+}
+
 async fn handle(node: Rc<Node>, request: Request) -> Response {
     let path = request.path().to_owned();
     let method = request.method.as_str();
--- a/crates/corkfield/src/settings.rs
+++ b/crates/corkfield/src/settings.rs
@@ -118,7 +118,6 @@
             report_interval: params.workers.report_interval(),
             answer_limit: self.answer_limit(),
             list_lag: Duration::from_secs_f64(params.cloud.list_lag_s),
-            claim_limit: self.operator.claim_limit,
             placement_sample: self.operator.placement_sample as usize,
             idle_keep: Duration::from_secs_f64(self.operator.idle_keep_s),
         }
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -42,6 +42,28 @@
     });
 }
 
+#[test]
+fn a_claim_of_the_planner_record_whose_answer_is_lost_leaves_no_gap() {
+    story(1, |world| async move {
+        let lost = Cell::new(0);
+        world.store.set_faults(move |request| {
+            let claims = request.path() == PATH_TXN
+                && String::from_utf8_lossy(&request.body).contains("\"put\":\"c/planner\"");
+            if claims && lost.replace(lost.get() + 1) < 2 {
+                Fault::LoseAnswer
+            } else {
+                Fault::None
+            }
+        });
+        let planner = world.planner_node();
+        world.restart(planner, 0.5).await;
+        secs(8.0).await;
+        let job = spec(1, 2);
+        world.submit(&job, 2.0).await;
+        world.until_done(&job.id, 20.0).await;
+    });
+}
+
 #[test]
 fn after_a_crash_of_all_controllers_tasks_go_on_where_they_were() {
     story(2, |world| async move {
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -73,9 +73,6 @@
     /// Set aside at the claim limit, until an operator releases it or its user cancels it.
     #[serde(default)]
     pub set_aside: bool,
-    /// Tried again no earlier than this time of day, in milliseconds since 1970.
-    #[serde(default)]
-    pub not_before_ms: u64,
 }
 
 impl JobRecord {
@@ -90,7 +87,6 @@
             done: 0,
             running: 0,
             set_aside: false,
-            not_before_ms: 0,
         }
     }
 
