--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -192,11 +192,11 @@
 }
 
 /// A controller that alone gets no answers from the state service sends users elsewhere. When
-/// none of them does, they all stay: there is nowhere better to go.
+/// none of them does, all stay, a restarted one too: there is nowhere better to go, and the load
+/// balancer would only let them wait longer once the service is back.
 fn ready(node: &Node) -> Response {
-    let synced = node.follower.is_synced();
-    let stale = node.follower.proof_age() > Duration::from_secs(4);
-    if !synced || (stale && node.peers.somebody_has_store()) {
+    let stale = !node.follower.is_synced() || node.follower.proof_age() > Duration::from_secs(4);
+    if stale && node.peers.somebody_has_store() {
         return error(503, "not ready");
     }
     json(200, &serde_json::json!({"ready": true}))
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -625,5 +625,11 @@
             [world.ask(0, "GET", &path, b"").await, world.ask(1, "GET", &path, b"").await];
         assert!(answers.iter().flatten().all(|r| r.0 == 200 || r.0 == 503));
         assert_eq!(world.ask(0, "GET", PATH_READY, b"").await.map(|r| r.0), Some(200));
+        // A controller restarted meanwhile is no worse than the others, once their last word
+        // of the store is old.
+        world.restart(2, 0.5).await;
+        secs(10.0).await;
+        assert_eq!(world.ask(2, "GET", PATH_READY, b"").await.map(|r| r.0), Some(200));
+        assert_eq!(world.ask(2, "GET", unknown, b"").await.map(|r| r.0), Some(503));
     });
 }
