--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -109,7 +109,6 @@
     /// The last moment at which a report of it can have been answered with 200.
     pub(crate) answered_at: Instant,
     pub(crate) lapsed: bool,
-    pub(crate) missing: u32,
     pub(crate) notice: bool,
     pub(crate) idle_since: Option<Instant>,
     pub held: BTreeMap<(TaskId, u64), Held>,
@@ -151,7 +150,6 @@
             heard_at: None,
             answered_at: now,
             lapsed: false,
-            missing: 0,
             notice: false,
             idle_since: None,
             held: BTreeMap::new(),
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -819,7 +819,6 @@
                 machine.size = types.iter().find(|t| t.name == machine.type_name).cloned();
                 machine
             });
-            machine.missing = 0;
             if machine.addr.is_empty() {
                 machine.addr.clone_from(&entry.addr);
             }
@@ -828,10 +827,7 @@
         for machine in self.machines.values_mut() {
             // It existed when we came to know it, and this list describes a later moment.
             if !listed.contains(machine.name.as_str()) && asked >= machine.known_since + settle {
-                machine.missing += 1;
-                if machine.missing >= 2 {
-                    missing.push(machine.name.clone());
-                }
+                missing.push(machine.name.clone());
             }
         }
         for name in missing {
--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -95,7 +95,7 @@
         }
         self.replace_late_boots(now);
         let (wide, spot_wide) = self.wanted_cpus();
-        let supply = self.supply();
+        let supply = self.supply(now);
         self.rent(wide, spot_wide, supply, now);
         self.return_dear(now);
         self.return_idle(wide, supply, now);
@@ -151,9 +151,17 @@
         (all, spot)
     }
 
-    fn supply(&self) -> f64 {
+    fn supply(&self, now: Instant) -> f64 {
+        // A machine that should have reported is probably gone. What that means for its tasks
+        // is for S5 to tell; another machine may be asked for meanwhile.
+        let silence = self.config.report_interval.mul_f64(2.0) + Duration::from_secs(1);
+        let silent =
+            |m: &Machine| m.heard_at.is_some_and(|at| now.saturating_duration_since(at) > silence);
         let working = |m: &&Machine| {
-            matches!(m.state(), MachineState::Up | MachineState::Booting) && !m.notice && !m.lapsed
+            matches!(m.state(), MachineState::Up | MachineState::Booting)
+                && !m.notice
+                && !m.lapsed
+                && !silent(m)
         };
         let rented: f64 = self
             .machines
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -336,3 +336,18 @@
     assert_eq!(stored, 50_000);
     assert_eq!(planner.job(&id()).expect("claimed").record.done, 50_000);
 }
+
+#[test]
+fn a_list_proves_a_machine_gone_only_if_it_describes_a_later_moment() {
+    let now = Instant::now();
+    let (mut planner, _) = with_start_sent(now);
+    // Asked soon after the machine was known: it may describe the time before.
+    let soon = now + Duration::from_secs(3);
+    planner.on_list(&[], soon, soon);
+    assert!(planner.machine("host-1").is_some(), "S5");
+    let later = now + Duration::from_secs(5);
+    planner.on_list(&[], later, later);
+    assert!(planner.machine("host-1").is_none());
+    assert!(planner.job(&id()).expect("claimed").active().is_empty());
+    assert_eq!(planner.on_report(&report(9, 1, Vec::new()), true, later), Verdict::Stale);
+}
