--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -17,8 +17,6 @@
 const DEAR: f64 = 2.0;
 /// Dear machines go when the cheap ones have this many times their CPUs.
 const MOSTLY: f64 = 4.0;
-/// After dear machines went, none is rented for this long while spot ones can be had.
-const DEAR_PAUSE: Duration = Duration::from_secs(600);
 
 /// The part of the keeping time after which machines beyond the likely need are returned.
 const SHORT_KEEP: f64 = 0.35;
@@ -32,7 +30,6 @@
     requests: u64,
     backoff: BTreeMap<Offer, (Instant, u32)>,
     under_way: BTreeMap<String, RentRequest>,
-    dear_until: Option<Instant>,
     /// When the most CPUs were asked for at once by a job that is to start soon, and how many.
     lately: (Option<Instant>, f64),
 }
@@ -44,7 +41,6 @@
             requests: 0,
             backoff: BTreeMap::new(),
             under_way: BTreeMap::new(),
-            dear_until: None,
             lately: (None, 0.0),
         }
     }
@@ -97,13 +93,13 @@
         let (wide, spot_wide) = self.wanted_cpus();
         let supply = self.supply(now);
         self.rent(wide, spot_wide, supply, now);
-        self.return_dear(now);
+        self.return_dear();
         self.return_idle(wide, supply, now);
     }
 
     /// Once most of the capacity is up at a far lower price, the dear rest is let go: its work
     /// ends, and no new work comes.
-    fn return_dear(&mut self, now: Instant) {
+    fn return_dear(&mut self) {
         let mut cheap = 0.0;
         let mut dear = Vec::new();
         let mut dear_cpus = 0.0;
@@ -130,7 +126,6 @@
                 machine.enter(MachineState::Draining);
             }
         }
-        self.renting.dear_until = Some(now + DEAR_PAUSE);
     }
 
     /// CPUs that the unfinished work could use, in all and on spot machines.
@@ -186,6 +181,16 @@
         if missing <= 0.0 {
             return;
         }
+        let coming = |spot: bool| {
+            let working = |m: &&Machine| {
+                m.spot == spot
+                    && matches!(m.state(), MachineState::Up | MachineState::Booting)
+                    && !m.lapsed
+            };
+            let cpus = |m: &Machine| m.size.as_ref().map(|t| t.cpus);
+            self.machines.values().filter(working).filter_map(cpus).sum::<f64>()
+        };
+        let (cheap, dear_cpus) = (coming(true), coming(false));
         let mut offers: Vec<(f64, bool, MachineType, String)> = Vec::new();
         for kind in &self.types {
             for zone in &kind.zones {
@@ -196,9 +201,12 @@
                     let under_way = self.renting.under_way.values().any(|r| {
                         (&r.machine_type, &r.zone, r.spot) == (&offer.0, &offer.1, offer.2)
                     });
+                    // It would be returned as soon as it is up.
                     let dear = !spot
                         && want <= spot_want
-                        && self.renting.dear_until.is_some_and(|until| now < until);
+                        && kind.spot_price > 0.0
+                        && kind.price > DEAR * kind.spot_price
+                        && cheap >= MOSTLY * (dear_cpus + kind.cpus);
                     let useful = if spot { spot_want > 0.0 } else { !dear };
                     if waits || under_way || !useful || !self.somebody_fits(kind, zone, spot) {
                         continue;
