--- a/crates/corkfield/src/follow.rs
+++ b/crates/corkfield/src/follow.rs
@@ -18,7 +18,6 @@
 use tokio::sync::{watch, Notify};
 
 const MAX_FINALS: usize = 20_000;
-const WATCH: Duration = Duration::from_secs(2);
 const OUT_OF_REACH: Duration = Duration::from_secs(3600);
 
 #[derive(Default)]
@@ -206,6 +205,7 @@
 /// Keeps a watch open, and starts over when the service has forgotten where we were.
 pub async fn watch(node: Rc<Node>) {
     let follower = &node.follower;
+    let wait = node.settings.watch_wait();
     loop {
         if !follower.is_synced() {
             if let Err(error) = reload(&node).await {
@@ -216,7 +216,7 @@
         }
         let after = follower.cache.borrow().revision;
         let begun = now();
-        let pause = match node.state.changes(Use::Claim, FOLLOWED, after, WATCH).await {
+        let pause = match node.state.changes(Use::Claim, FOLLOWED, after, wait).await {
             Ok(events) => {
                 follower.apply(events, begun);
                 if node.leader.is_leading() {
--- a/crates/corkfield/src/settings.rs
+++ b/crates/corkfield/src/settings.rs
@@ -109,6 +109,13 @@
         Duration::from_secs_f64(left.max(1.0))
     }
 
+    /// How long a watch may stay open. Only its beginning proves fresh state, so it has to be
+    /// short against the answer limit: where a cancellation has little more time than a lease,
+    /// a quiet planner would otherwise refuse its workers between two watches.
+    pub fn watch_wait(&self) -> Duration {
+        (self.answer_limit() / 4).clamp(Duration::from_millis(100), Duration::from_secs(2))
+    }
+
     pub fn planner_config(&self) -> Config {
         let params = &self.platform.params;
         Config {
@@ -185,6 +192,22 @@
         assert!(parse_operator("[]").is_err());
     }
 
+    #[test]
+    fn a_quiet_watch_leaves_the_planner_fresh_enough_to_answer() {
+        for (lease, cancel) in [(14.0, 34.0), (10.0, 10.0), (26.0, 27.0)] {
+            let text = format!(
+                "node_name = \"n\"\ndomain = \"z\"\nclient_listen = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n\
+                 [endpoints]\ncloud = \"10.0.0.2:1\"\nstate = \"10.0.0.2:2\"\n[settings]\nsize = 1\n\
+                 [settings.workers]\nreport_s = 3.0\nlease_s = {lease:.1}\ncancel_s = {cancel:.1}\n\
+                 [settings.state]\nrps = 9.0\nwrite_rps = 9.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
+                 [settings.cloud]\nrps = 3.0\n[settings.limits]\n"
+            );
+            let platform = Platform::parse(&text).unwrap();
+            let settings = Settings { platform, operator: Operator::default() };
+            assert!(settings.watch_wait() * 3 <= settings.answer_limit(), "{lease} {cancel}");
+        }
+    }
+
     #[test]
     fn the_published_schema_is_that_of_the_settings() {
         let published = include_str!("../../../docs/operator.schema.json");
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -64,6 +64,7 @@
         }
         node.leader.knocked(node.follower.planner_known_for());
     }
+    tracing::debug!(machine = %report.machine, seq = report.seq, to = ?planner, "worker sent on");
     json(421, &Redirect { report_to: planner })
 }
 
@@ -102,9 +103,13 @@
     // S6: without fresh state a cancellation may have been missed; the machines' leases have
     // to run out while there is time.
     if node.follower.proof_age() >= node.settings.answer_limit() {
+        tracing::debug!(machine = %report.machine, "no fresh state to answer from");
         return later("no fresh state");
     }
     let verdict = planner.borrow_mut().on_report(report, true, now());
+    if verdict != Verdict::Accept {
+        tracing::debug!(machine = %report.machine, seq = report.seq, ?verdict, "report not taken");
+    }
     match verdict {
         Verdict::Accept => {}
         Verdict::Stale => return later("stale report"),
