--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -39,6 +39,9 @@
         secs(3.0).await;
         let record = world.record(&job.id).expect("unfinished");
         assert_eq!((record.generation, record.claims), (1, 1));
+        secs(12.0).await;
+        let record = world.record(&job.id).expect("unfinished");
+        assert_eq!((record.generation, record.claims), (1, 0), "a healthy claim is refunded");
     });
 }
 
