Clean-up: one place each for a machine's type, slowness, silence, and stops with time to save

Machines were given their type in four places, judged slow in two, silent in three, and stopped with time to save in two; preemption copied all names for each job. A count that nobody read is gone.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -27,6 +27,11 @@
         self.worker_lease.mul_f64(1.002) + Duration::from_millis(1500)
     }
 
+    /// A machine that has not reported for this long should have.
+    pub(crate) fn silence(&self) -> Duration {
+        self.report_interval.mul_f64(2.0) + Duration::from_secs(1)
+    }
+
     /// After this a machine that is missing in a list, and existed before, is surely gone.
     pub fn list_settles_after(&self) -> Duration {
         self.list_lag.mul_f64(2.2) + Duration::from_secs(2)
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -138,7 +138,7 @@
         self.spec().tasks.saturating_sub(self.finished.len())
     }
 
-    /// The next task to place. It must be placed or given back.
+    /// The next task to place; the caller places it.
     pub(crate) fn take_waiting(&mut self) -> Option<u32> {
         while let Some(index) = self.retry.pop() {
             if !self.finished.contains(index) && !self.active.contains_key(&index) {
@@ -230,6 +230,13 @@
         self.finished.slice(chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS)
     }
 
+    /// The time that a running task is given when it is stopped: enough to save, if it can.
+    pub(crate) fn stop_grace(&self) -> Duration {
+        let saves = self.spec().checkpoint_s > 0.0;
+        let grace_s = if saves { self.spec().save_s + 1.0 } else { 0.0 };
+        Duration::try_from_secs_f64(grace_s).unwrap_or_default()
+    }
+
     pub(crate) fn demand(&self) -> Usage {
         Usage::of(self.spec(), self.remaining())
     }
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -7,6 +7,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+/// A machine whose tasks took this many times as long as elsewhere gets no new work.
+const SLOW: f64 = 1.6;
+const SLOW_SAMPLES: u32 = 4;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MachineState {
     /// Rented; its worker hasn't reported.
@@ -117,7 +121,6 @@
     /// Jobs whose tasks failed here since a task last completed here.
     pub(crate) failed_jobs: Vec<String>,
     pub(crate) failures: u32,
-    pub(crate) completed: u32,
     pub(crate) shunned_until: Option<Instant>,
     /// Run times here against the same jobs' run times elsewhere, smoothed.
     pub(crate) slowness: f64,
@@ -130,15 +133,17 @@
         type_name: String,
         zone: String,
         spot: bool,
+        types: &[MachineType],
         now: Instant,
     ) -> Self {
+        let size = types.iter().find(|t| t.name == type_name).cloned();
         Self {
             name,
             addr: String::new(),
             type_name,
             zone,
             spot,
-            size: None,
+            size,
             state: MachineState::Booting,
             recorded: Recorded::No,
             fresh: false,
@@ -156,7 +161,6 @@
             images: Vec::new(),
             failed_jobs: Vec::new(),
             failures: 0,
-            completed: 0,
             shunned_until: None,
             slowness: 1.0,
             slowness_samples: 0,
@@ -189,6 +193,18 @@
         Some(free)
     }
 
+    /// Its tasks took much longer than the same jobs' tasks elsewhere.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.slowness > SLOW && self.slowness_samples >= SLOW_SAMPLES
+    }
+
+    /// Marks a task to be stopped, and gives the order for it.
+    pub(crate) fn stop(&mut self, key: &(TaskId, u64), grace: Duration) -> Option<Order> {
+        self.held.get_mut(key)?.stop = Some(grace);
+        let (task, attempt) = key.clone();
+        Some(Order::Stop { task, attempt, grace_s: grace.as_secs_f64() })
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         !self.held.values().any(Held::takes_room)
     }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -4,16 +4,12 @@
 use crate::machine::{Held, HeldState, Need};
 use crate::planner::{direct, Action, Planner};
 use crate::team::{within_guarantee, within_limit, Usage};
-use corkfield_wire::worker::Order;
 use corkfield_wire::{JobId, Priority, TaskId};
 use rand::seq::index;
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// A machine whose tasks took this many times as long as elsewhere gets no new work.
-pub(crate) const SLOW: f64 = 1.6;
-pub(crate) const SLOW_SAMPLES: u32 = 4;
 /// A task expected to end sooner than this is not stopped for another.
 const NEARLY_DONE_S: f64 = 6.0;
 
@@ -123,12 +119,10 @@
 
     /// Assigns waiting tasks to machines with room.
     pub fn plan(&mut self, now: Instant) {
-        let silence = self.config.report_interval.mul_f64(2.0) + Duration::from_secs(1);
+        let silence = self.config.silence();
         let mut rooms: Vec<Room> = Vec::new();
         for machine in self.machines.values() {
-            if !machine.takes_work(now, silence)
-                || (machine.slowness > SLOW && machine.slowness_samples >= SLOW_SAMPLES)
-            {
+            if !machine.takes_work(now, silence) || machine.is_slow() {
                 continue;
             }
             let probing = machine.failures > 0;
@@ -327,11 +321,13 @@
 
     /// Stops work of lower priority, or beyond its team's guarantee, for work that waits.
     fn preempt(&mut self, usage: &mut [Usage], now: Instant) {
-        let silence = self.config.report_interval.mul_f64(2.0) + Duration::from_secs(1);
+        let silence = self.config.silence();
         // Room that is being made already.
         let stopping = self.machines.values().flat_map(|m| m.held.values());
         let stopping = stopping.filter(|h| h.takes_room() && h.stop.is_some());
         let mut coming: f64 = stopping.filter_map(|h| h.spec.as_ref().map(|s| s.cpus)).sum();
+        let working = self.machines.values().filter(|m| m.takes_work(now, silence));
+        let names: Vec<String> = working.map(|m| m.name.clone()).collect();
         for id in self.queue(usage, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             let one = Usage::of(job.spec(), 1);
@@ -343,15 +339,12 @@
             let covered = (coming / one.cpus.max(0.01)).floor().min(f64::from(job.waiting()));
             coming -= covered * one.cpus;
             let mut wanted = job.waiting() - covered as u32;
-            let names: Vec<String> = self.machines.keys().cloned().collect();
-            for name in names {
+            for name in &names {
                 if wanted == 0 {
                     break;
                 }
-                if self.machines[&name].takes_work(now, silence) {
-                    let victims = self.victims(&id, &name, &mut wanted, usage, now);
-                    self.stop_tasks(&id, &name, victims);
-                }
+                let victims = self.victims(&id, name, &mut wanted, usage, now);
+                self.stop_tasks(&id, name, victims);
             }
         }
     }
@@ -454,13 +447,9 @@
         };
         tracing::debug!(job = %id, machine = name, stopped = tasks.len(), "preempting");
         let mut orders = Vec::new();
-        for (task, attempt) in tasks {
-            let saves = self.jobs.get(&task.job).map(Job::spec).filter(|s| s.checkpoint_s > 0.0);
-            let grace_s = saves.map_or(0.0, |spec| spec.save_s + 1.0);
-            if let Some(held) = machine.held.get_mut(&(task.clone(), attempt)) {
-                held.stop = Some(Duration::try_from_secs_f64(grace_s).unwrap_or_default());
-                orders.push(Order::Stop { task, attempt, grace_s });
-            }
+        for key in tasks {
+            let grace = self.jobs.get(&key.0.job).map_or(Duration::ZERO, Job::stop_grace);
+            orders.extend(machine.stop(&key, grace));
         }
         let action = direct(machine, orders);
         self.actions.push(action);
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -173,12 +173,11 @@
         now: Instant,
     ) {
         let MachineRecord { addr, machine_type, zone, spot, .. } = record.clone();
-        let mut machine = Machine::new(name.to_owned(), machine_type, zone, spot, now);
+        let mut machine = Machine::new(name.to_owned(), machine_type, zone, spot, &self.types, now);
         machine.addr = addr;
         machine.recorded = Recorded::Yes;
         // It existed then, so the first lists may tell already that it is gone.
         machine.known_since = now.checked_sub(age).unwrap_or(now);
-        machine.size = self.types.iter().find(|t| t.name == machine.type_name).cloned();
         // S6: the planner before us may have answered it until its fresh state ran out.
         machine.answered_at = now + self.config.answer_limit;
         machine.enter(MachineState::Up);
@@ -404,15 +403,14 @@
         }
         let types = &self.types;
         let machine = self.machines.entry(report.machine.clone()).or_insert_with(|| {
-            let mut machine = Machine::new(
+            Machine::new(
                 report.machine.clone(),
                 report.machine_type.clone(),
                 report.zone.clone(),
                 report.spot,
+                types,
                 now,
-            );
-            machine.size = types.iter().find(|t| t.name == machine.type_name).cloned();
-            machine
+            )
         });
         // Held-back messages: older ones never count (S10), nor do those of sessions that
         // are known to have ended (S5).
@@ -532,7 +530,6 @@
                 if job.finish(index) {
                     machine.failures = 0;
                     machine.failed_jobs.clear();
-                    machine.completed += 1;
                     // A run time is known only if its beginning and its end were reported at
                     // once: a machine that couldn't report for a while is not a slow one.
                     let before = before.filter(|_| held.ours && prompt);
@@ -646,20 +643,18 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        let jobs = &self.jobs;
-        let mut stops = Vec::new();
-        for ((task, attempt), held) in machine.held.iter_mut() {
-            let Some(job) = jobs.get(&task.job) else {
+        let mut saving: Vec<((TaskId, u64), Duration)> = Vec::new();
+        for (key, held) in &machine.held {
+            let Some(job) = self.jobs.get(&key.0.job) else {
                 continue;
             };
             let saves = job.spec().checkpoint_s > 0.0;
             if held.state == HeldState::Running && saves && held.stop.is_none() {
-                let grace = Duration::from_secs_f64(job.spec().save_s + 1.0);
-                held.stop = Some(grace);
-                let (task, attempt) = (task.clone(), *attempt);
-                stops.push(Order::Stop { task, attempt, grace_s: grace.as_secs_f64() });
+                saving.push((key.clone(), job.stop_grace()));
             }
         }
+        let stops: Vec<Order> =
+            saving.iter().filter_map(|(key, grace)| machine.stop(key, *grace)).collect();
         if !stops.is_empty() {
             let action = direct(machine, stops);
             self.actions.push(action);
@@ -812,11 +807,11 @@
                     entry.machine_type.clone(),
                     entry.zone.clone(),
                     entry.spot,
+                    types,
                     now,
                 );
                 let age = Duration::try_from_secs_f64(entry.age_s).unwrap_or_default();
                 machine.rented_at = now.checked_sub(age).unwrap_or(now);
-                machine.size = types.iter().find(|t| t.name == machine.type_name).cloned();
                 machine
             });
             if machine.addr.is_empty() {
--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -2,7 +2,6 @@
 
 use crate::job::Job;
 use crate::machine::{Machine, MachineState};
-use crate::placement::{SLOW, SLOW_SAMPLES};
 use crate::planner::{Action, Planner};
 use corkfield_wire::cloud::{MachineType, RentRequest, MAX_RENT};
 use corkfield_wire::JobSpec;
@@ -62,11 +61,9 @@
                 let short = names.len() < request.count as usize;
                 for name in names {
                     let RentRequest { machine_type, zone, spot, .. } = request.clone();
-                    let size = self.types.iter().find(|t| t.name == machine_type).cloned();
+                    let types = &self.types;
                     self.machines.entry(name.clone()).or_insert_with(|| {
-                        let mut machine = Machine::new(name, machine_type, zone, spot, now);
-                        machine.size = size;
-                        machine
+                        Machine::new(name, machine_type, zone, spot, types, now)
                     });
                 }
                 if short {
@@ -149,7 +146,7 @@
     fn supply(&self, now: Instant) -> f64 {
         // A machine that should have reported is probably gone. What that means for its tasks
         // is for S5 to tell; another machine may be asked for meanwhile.
-        let silence = self.config.report_interval.mul_f64(2.0) + Duration::from_secs(1);
+        let silence = self.config.silence();
         let silent =
             |m: &Machine| m.heard_at.is_some_and(|at| now.saturating_duration_since(at) > silence);
         let working = |m: &&Machine| {
@@ -301,7 +298,7 @@
             }
             let since = *machine.idle_since.get_or_insert(now);
             let price = if machine.spot { size.spot_price } else { size.price };
-            let slow = machine.slowness > SLOW && machine.slowness_samples >= SLOW_SAMPLES;
+            let slow = machine.is_slow();
             let idle_for = now.saturating_duration_since(since);
             if slow || idle_for >= short {
                 let long = slow || idle_for >= keep;
