Plan once for all reports of a moment, not once for each

The planner ran a whole planning pass, over all jobs and machines, for every report, task record and direct answer. Ruled out: memory (below 8 MB), the state service (0 refused), the cloud. Change: passes run in one loop, paced by the number of machines; a report of a machine that could take work waits for the next pass.

--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -160,6 +160,18 @@
         self.machines.get(name)
     }
 
+    pub fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+
+    /// Whether a planning pass might start something there, now that it has reported.
+    pub fn may_start_on(&self, name: &str, now: Instant) -> bool {
+        self.machines.get(name).is_some_and(|machine| {
+            machine.takes_work(now, Duration::MAX)
+                && machine.free().is_some_and(|free| free.cpus > 0.0)
+        }) && self.jobs.values().any(|job| job.may_start() && job.waiting() > 0)
+    }
+
     // ----- take-over -----
 
     /// A machine on which an earlier planner may have started tasks. Nothing that was claimed
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -34,6 +34,12 @@
 /// A planner known for this long has heard from all workers that reach it.
 const SETTLED: Duration = Duration::from_secs(10);
 
+/// A pass looks at every machine: there is this much time between two for each of them.
+const PASS_PACE: Duration = Duration::from_micros(250);
+const PASS_PACE_MOST: Duration = Duration::from_millis(120);
+/// No report waits longer than this for a pass.
+const PASS_WAIT: Duration = Duration::from_millis(1000);
+
 type Shared = Rc<RefCell<Planner>>;
 
 #[derive(Default)]
@@ -43,6 +49,10 @@
     ready: Notify,
     actions: Notify,
     settle: Notify,
+    /// Something changed that a planning pass should see.
+    wanted: Notify,
+    /// A planning pass has ended.
+    planned: Notify,
     parked: RefCell<HashMap<String, Rc<Notify>>>,
     outbid: Cell<u64>,
     last_report: Cell<Option<Instant>>,
@@ -73,6 +83,19 @@
         self.settle.notify_one();
     }
 
+    /// Asks for a planning pass.
+    pub fn want_pass(&self) {
+        self.wanted.notify_one();
+    }
+
+    /// Asks for a planning pass, and waits for its end. One pass serves all that wait: a pass
+    /// for each report costs a planner with hundreds of machines more than its processor share.
+    pub async fn next_pass(&self) {
+        let planned = self.planned.notified();
+        self.want_pass();
+        let _ = tokio::time::timeout(PASS_WAIT, planned).await;
+    }
+
     /// A worker has seen a term above ours: the next one has to lie above it.
     pub fn outbid(&self, term: u64) {
         self.outbid.set(self.outbid.get().max(term));
@@ -111,6 +134,7 @@
         self.leading.set(false);
         *self.planner.borrow_mut() = None;
         self.ready.notify_waiters();
+        self.planned.notify_waiters();
         for work in self.parked.borrow_mut().drain() {
             work.1.notify_one();
         }
@@ -288,6 +312,7 @@
             self.settling(),
             self.acting(),
             self.ticking(),
+            self.passes(),
             self.listing(),
             self.fencing(),
             self.typing(),
@@ -446,10 +471,9 @@
             let age = Duration::from_millis(wall_ms().saturating_sub(record.accepted_ms));
             let mut planner = self.planner.borrow_mut();
             planner.claimed(record, finished, version, age, now());
-            planner.plan(now());
         }
         self.claimed.notify_one();
-        self.node.leader.actions.notify_one();
+        self.node.leader.want_pass();
         true
     }
 
@@ -600,8 +624,7 @@
                     let txn = Txn::default().when(PLANNER, version).put(machine_key(&name), value);
                     let stored = node.state.txn(Use::Claim, &txn).await;
                     planner.borrow_mut().machine_recorded(&name, stored.is_ok());
-                    planner.borrow_mut().plan(now());
-                    node.leader.actions.notify_one();
+                    node.leader.want_pass();
                 });
             }
             Action::Erase(name) => {
@@ -647,7 +670,6 @@
             let at = now();
             let mut planner = self.planner.borrow_mut();
             planner.tick(at);
-            planner.plan(at);
             let age = adjusted.map(|before| at.saturating_duration_since(before));
             let due = if woken { ADJUST_SOON } else { ADJUST };
             if age.is_none_or(|age| age >= due) {
@@ -656,6 +678,22 @@
             }
             drop(planner);
             self.node.leader.actions.notify_one();
+            self.node.leader.want_pass();
+        }
+    }
+
+    async fn passes(&self) {
+        loop {
+            self.node.leader.wanted.notified().await;
+            let machines = {
+                let mut planner = self.planner.borrow_mut();
+                planner.plan(now());
+                planner.machine_count()
+            };
+            self.node.leader.planned.notify_waiters();
+            self.node.leader.actions.notify_one();
+            let pace = PASS_PACE * u32::try_from(machines).unwrap_or(u32::MAX);
+            tokio::time::sleep(pace.min(PASS_PACE_MOST)).await;
         }
     }
 
@@ -792,8 +830,7 @@
         }
         session = report.session;
     }
-    planner.borrow_mut().plan(now());
-    node.leader.actions.notify_one();
+    node.leader.want_pass();
     node.leader.settle.notify_one();
 }
 
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -118,8 +118,10 @@
             return later("a higher term is needed");
         }
     }
-    planner.borrow_mut().plan(now());
     node.leader.wake_actions();
+    if planner.borrow().may_start_on(&report.machine, now()) {
+        node.leader.next_pass().await;
+    }
     let hold = Duration::from_secs_f64(node.settings.operator.hold_s);
     if !hold.is_zero() && planner.borrow().may_hold(&report.machine) {
         let work = node.leader.work_for(&report.machine);
