Keep the totals of each machine's tasks instead of summing them in each pass

Cause: a planning pass walked every task of every machine several times (use of teams, room, room to come, preemption), 0.3 ms and more each. Change: totals are kept with a machine's tasks and dropped by any mutable access; places are looked up once a job; machines with nothing to stop are passed over; names of gone machines are a set; job ids are shared.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -3,8 +3,10 @@
 use crate::team::{Usage, EPSILON};
 use corkfield_wire::cloud::MachineType;
 use corkfield_wire::worker::Order;
-use corkfield_wire::{JobSpec, TaskId};
+use corkfield_wire::{JobId, JobSpec, Priority, TaskId};
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
+use std::ops::{Deref, DerefMut};
 use std::time::{Duration, Instant};
 
 /// A machine whose tasks took this many times as long as elsewhere gets no new work.
@@ -57,13 +59,14 @@
     /// What it takes; unknown for tasks of jobs that are not known any more.
     pub spec: Option<Need>,
     pub team: Option<usize>,
+    pub(crate) priority: Option<Priority>,
     /// Started by this planner, so that its run time is known.
     pub(crate) ours: bool,
     /// The grace to stop it with, once it has to go.
     pub stop: Option<Duration>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Need {
     pub cpus: f64,
     pub gpus: f64,
@@ -85,12 +88,106 @@
         }
     }
 
+    /// The job that it is of has become known.
+    pub(crate) fn belongs_to(&mut self, spec: &JobSpec, team: usize) {
+        self.spec = Some(Need::of(spec));
+        self.team = Some(team);
+        self.priority = Some(spec.priority);
+    }
+
     /// Whether it takes room on the machine and of its team's limit.
     pub fn takes_room(&self) -> bool {
         !matches!(self.state, HeldState::Done | HeldState::Exited)
     }
 }
 
+/// What the tasks on a machine come to.
+#[derive(Debug, Default)]
+pub(crate) struct Totals {
+    /// Tasks that take room.
+    pub tasks: u32,
+    pub used: Need,
+    /// Something of unknown size is there.
+    pub unsized_tasks: bool,
+    /// Something of an unknown team is there.
+    pub uncounted: bool,
+    pub by_team: Vec<Usage>,
+    /// Of jobs that are known, by priority, the highest first.
+    pub by_priority: [Need; 4],
+    /// CPUs of what is being stopped.
+    pub stopping_cpus: f64,
+    /// Tasks that run, by job.
+    pub running: Vec<(JobId, u32)>,
+}
+
+/// The tasks on a machine, with their totals. A look at every task of hundreds of machines in
+/// each planning pass costs more than a controller's processor share, so totals are kept until
+/// the tasks may have changed: any mutable access drops them.
+#[derive(Debug, Default)]
+pub struct HeldTasks {
+    tasks: BTreeMap<(TaskId, u64), Held>,
+    totals: OnceCell<Totals>,
+}
+
+impl Deref for HeldTasks {
+    type Target = BTreeMap<(TaskId, u64), Held>;
+    fn deref(&self) -> &Self::Target {
+        &self.tasks
+    }
+}
+
+impl DerefMut for HeldTasks {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        self.totals.take();
+        &mut self.tasks
+    }
+}
+
+impl HeldTasks {
+    pub(crate) fn totals(&self) -> &Totals {
+        self.totals.get_or_init(|| {
+            let mut totals = Totals::default();
+            for ((task, _), held) in &self.tasks {
+                if matches!(held.state, HeldState::Running | HeldState::Saving) {
+                    match totals.running.iter_mut().find(|(job, _)| *job == task.job) {
+                        Some((_, count)) => *count += 1,
+                        None => totals.running.push((task.job.clone(), 1)),
+                    }
+                }
+                if held.takes_room() {
+                    totals.add(held);
+                }
+            }
+            totals
+        })
+    }
+}
+
+impl Totals {
+    fn add(&mut self, held: &Held) {
+        self.tasks += 1;
+        self.uncounted |= held.team.is_none();
+        let Some(need) = &held.spec else {
+            self.unsized_tasks = true;
+            return;
+        };
+        self.used.add(need);
+        if held.stop.is_some() {
+            self.stopping_cpus += need.cpus;
+        }
+        if let Some(team) = held.team {
+            if self.by_team.len() <= team {
+                self.by_team.resize(team + 1, Usage::default());
+            }
+            let usage = &mut self.by_team[team];
+            *usage = usage.plus(Usage { cpus: need.cpus, gpus: need.gpus });
+        }
+        if let Some(priority) = held.priority {
+            self.by_priority[priority as usize].add(need);
+        }
+    }
+}
+
 #[derive(Debug)]
 pub struct Machine {
     pub name: String,
@@ -115,7 +212,7 @@
     pub(crate) lapsed: bool,
     pub(crate) notice: bool,
     pub(crate) idle_since: Option<Instant>,
-    pub held: BTreeMap<(TaskId, u64), Held>,
+    pub held: HeldTasks,
     /// Images that it probably has, the most recently used last.
     pub(crate) images: Vec<(String, f64)>,
     /// Jobs whose tasks failed here since a task last completed here.
@@ -157,7 +254,7 @@
             lapsed: false,
             notice: false,
             idle_since: None,
-            held: BTreeMap::new(),
+            held: HeldTasks::default(),
             images: Vec::new(),
             failed_jobs: Vec::new(),
             failures: 0,
@@ -183,13 +280,12 @@
     /// Room that no task takes; none while something of unknown size is there.
     pub(crate) fn free(&self) -> Option<Need> {
         let size = self.size.as_ref()?;
-        let mut free = Need { cpus: size.cpus, gpus: size.gpus, memory_gb: size.memory_gb };
-        for held in self.held.values().filter(|h| h.takes_room()) {
-            let need = held.spec.as_ref()?;
-            free.cpus -= need.cpus;
-            free.gpus -= need.gpus;
-            free.memory_gb -= need.memory_gb;
+        let totals = self.held.totals();
+        if totals.unsized_tasks {
+            return None;
         }
+        let mut free = Need { cpus: size.cpus, gpus: size.gpus, memory_gb: size.memory_gb };
+        free.take(&totals.used);
         Some(free)
     }
 
@@ -206,7 +302,7 @@
     }
 
     pub(crate) fn is_empty(&self) -> bool {
-        !self.held.values().any(Held::takes_room)
+        self.held.totals().tasks == 0
     }
 
     pub(crate) fn takes_work(&self, now: Instant, silence: Duration) -> bool {
@@ -254,20 +350,26 @@
             again.then(|| Order::Stop { task: task.clone(), attempt: *attempt, grace_s })
         })
     }
-
-    pub(crate) fn usage(&self, team: usize) -> Usage {
-        let mut usage = Usage::default();
-        for held in self.held.values().filter(|h| h.takes_room() && h.team == Some(team)) {
-            if let Some(need) = &held.spec {
-                usage.cpus += need.cpus;
-                usage.gpus += need.gpus;
-            }
-        }
-        usage
-    }
 }
 
 impl Need {
+    pub(crate) fn add(&mut self, other: &Need) {
+        self.cpus += other.cpus;
+        self.gpus += other.gpus;
+        self.memory_gb += other.memory_gb;
+    }
+
+    pub(crate) fn take(&mut self, other: &Need) {
+        self.cpus -= other.cpus;
+        self.gpus -= other.gpus;
+        self.memory_gb -= other.memory_gb;
+    }
+
+    pub(crate) fn times(&self, count: u32) -> Need {
+        let count = f64::from(count);
+        Need { cpus: self.cpus * count, gpus: self.gpus * count, memory_gb: self.memory_gb * count }
+    }
+
     pub(crate) fn holds(&self, need: &Need) -> bool {
         need.cpus <= self.cpus + EPSILON
             && need.gpus <= self.gpus + EPSILON
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -27,15 +27,14 @@
     probing: bool,
     /// Kept for work of higher priority, whether it is free yet or not.
     reserved: Need,
+    /// What the tasks there take, by priority.
+    by_priority: [Need; 4],
 }
 
 impl Room {
     fn fits(&self, need: &Need) -> bool {
-        let left = Need {
-            cpus: self.free.cpus - self.reserved.cpus,
-            gpus: self.free.gpus - self.reserved.gpus,
-            memory_gb: self.free.memory_gb - self.reserved.memory_gb,
-        };
+        let mut left = self.free;
+        left.take(&self.reserved);
         left.holds(need)
     }
 }
@@ -113,8 +112,7 @@
 
     /// Tasks of jobs that are not known: what they take of a limit can't be told.
     fn has_uncounted(&self) -> bool {
-        let mut held = self.machines.values().flat_map(|m| m.held.values());
-        held.any(|h| h.takes_room() && h.team.is_none())
+        self.machines.values().any(|m| m.held.totals().uncounted)
     }
 
     /// Assigns waiting tasks to machines with room.
@@ -129,8 +127,9 @@
             match machine.free() {
                 Some(free) if !probing || machine.is_empty() => {
                     let (name, zone) = (machine.name.clone(), machine.zone.clone());
-                    let reserved = Need { cpus: 0.0, gpus: 0.0, memory_gb: 0.0 };
-                    rooms.push(Room { name, free, zone, probing, reserved });
+                    let reserved = Need::default();
+                    let by_priority = machine.held.totals().by_priority;
+                    rooms.push(Room { name, free, zone, probing, reserved, by_priority });
                 }
                 _ => {}
             }
@@ -169,12 +168,16 @@
         let one = Usage::of(&job.record.spec, 1);
         let team = &self.config.teams[job.team];
         let capped = within && job.record.spec.priority > Priority::High;
-        let mut candidates: Vec<usize> = Vec::new();
+        let image = job.record.spec.image.as_str();
+        // Whether they hold the image is looked up once: a job may place thousands of tasks.
+        let mut candidates: Vec<(usize, bool)> = Vec::new();
         for (n, room) in rooms.iter().enumerate() {
+            if !room.fits(&need) {
+                continue;
+            }
             let machine = &self.machines[&room.name];
-            let failed = job.failed_on.contains(&room.name);
-            if machine.allows(&job.record.spec) && room.fits(&need) && !failed {
-                candidates.push(n);
+            if machine.allows(&job.record.spec) && !job.failed_on.contains(&room.name) {
+                candidates.push((n, machine.has_image(image)));
             }
         }
         if candidates.is_empty() {
@@ -190,37 +193,38 @@
             Some(zone) => zone.clone(),
             None => roomiest_zone(rooms, &candidates, &need),
         });
+        let cap = job.record.spec.zone_cap();
+        let mut recheck = true;
         loop {
             let next = usage[job.team].plus(one);
             if !within_limit(team, next) || (capped && !within_guarantee(team, next)) {
                 return;
             }
-            let cap = job.record.spec.zone_cap();
-            candidates.retain(|&n| {
-                let room = &rooms[n];
-                room.fits(&need)
-                    && same_zone.as_ref().is_none_or(|zone| *zone == room.zone)
-                    && zones.get(&room.zone).copied().unwrap_or(0) < cap
-            });
+            if recheck {
+                candidates.retain(|&(n, _)| {
+                    let room = &rooms[n];
+                    room.fits(&need)
+                        && same_zone.as_ref().is_none_or(|zone| *zone == room.zone)
+                        && zones.get(&room.zone).copied().unwrap_or(0) < cap
+                });
+            }
+            let better = |&a: &(usize, bool), &b: &(usize, bool)| {
+                let free = |(n, _): (usize, bool)| rooms[n].free.cpus;
+                (a.1.cmp(&b.1)).then(free(a).partial_cmp(&free(b)).unwrap_or(Ordering::Equal))
+            };
             let sample = self.config.placement_sample.max(1);
-            let picks: Vec<usize> = if candidates.len() > sample {
+            let best = if candidates.len() > sample {
                 let chosen = index::sample(&mut self.rng, candidates.len(), sample);
-                chosen.into_iter().map(|i| candidates[i]).collect()
+                chosen.into_iter().max_by(|&a, &b| better(&candidates[a], &candidates[b]))
             } else {
-                candidates.clone()
+                (0..candidates.len()).max_by(|&a, &b| better(&candidates[a], &candidates[b]))
             };
-            let image = &job.record.spec.image;
-            let best = picks.into_iter().max_by(|&a, &b| {
-                let holds = |n: usize| self.machines[&rooms[n].name].has_image(image);
-                let free = |n: usize| rooms[n].free.cpus;
-                (holds(a).cmp(&holds(b)))
-                    .then(free(a).partial_cmp(&free(b)).unwrap_or(Ordering::Equal))
-            });
             let Some(best) = best else { return };
             let Some(index) = job.take_waiting() else {
                 return;
             };
-            let room = &mut rooms[best];
+            candidates[best].1 = true;
+            let room = &mut rooms[candidates[best].0];
             let Some(machine) = self.machines.get_mut(&room.name) else {
                 return;
             };
@@ -231,6 +235,7 @@
                 since: now,
                 spec: Some(need),
                 team: Some(job.team),
+                priority: Some(job.record.spec.priority),
                 ours: true,
                 stop: None,
             };
@@ -242,12 +247,12 @@
             job.place(index, &room.name, attempt);
             *zones.entry(room.zone.clone()).or_default() += 1;
             usage[job.team] = usage[job.team].plus(one);
-            room.free.cpus -= need.cpus;
-            room.free.gpus -= need.gpus;
-            room.free.memory_gb -= need.memory_gb;
+            room.free.take(&need);
+            room.by_priority[job.record.spec.priority as usize].add(&need);
             if room.probing {
                 room.free.cpus = -1.0;
             }
+            recheck = !room.fits(&need) || zones[&room.zone] >= cap;
         }
     }
 
@@ -268,14 +273,8 @@
                 continue;
             }
             let mut may = room.free;
-            for ((task, _), held) in &machine.held {
-                let lower =
-                    self.jobs.get(&task.job).is_some_and(|o| o.spec().priority > spec.priority);
-                if let (true, true, Some(n)) = (lower, held.takes_room(), &held.spec) {
-                    may.cpus += n.cpus;
-                    may.gpus += n.gpus;
-                    may.memory_gb += n.memory_gb;
-                }
+            for lower in &room.by_priority[spec.priority as usize + 1..] {
+                may.add(lower);
             }
             let cpus = (may.cpus - room.reserved.cpus) / need.cpus;
             let memory = match need.memory_gb > 0.0 {
@@ -291,10 +290,7 @@
         for (count, _, n) in slots {
             let count = count.min(left);
             left -= count;
-            let reserved = &mut rooms[n].reserved;
-            reserved.cpus += need.cpus * f64::from(count);
-            reserved.gpus += need.gpus * f64::from(count);
-            reserved.memory_gb += need.memory_gb * f64::from(count);
+            rooms[n].reserved.add(&need.times(count));
             if left == 0 {
                 return;
             }
@@ -323,11 +319,11 @@
     fn preempt(&mut self, usage: &mut [Usage], now: Instant) {
         let silence = self.config.silence();
         // Room that is being made already.
-        let stopping = self.machines.values().flat_map(|m| m.held.values());
-        let stopping = stopping.filter(|h| h.takes_room() && h.stop.is_some());
-        let mut coming: f64 = stopping.filter_map(|h| h.spec.as_ref().map(|s| s.cpus)).sum();
+        let mut coming: f64 = self.machines.values().map(|m| m.held.totals().stopping_cpus).sum();
         let working = self.machines.values().filter(|m| m.takes_work(now, silence));
-        let names: Vec<String> = working.map(|m| m.name.clone()).collect();
+        let by_priority =
+            working.map(|m| (m.name.clone(), m.held.totals().by_priority.map(|need| need.cpus)));
+        let working: Vec<(String, [f64; 4])> = by_priority.collect();
         for id in self.queue(usage, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             let one = Usage::of(job.spec(), 1);
@@ -339,12 +335,22 @@
             let covered = (coming / one.cpus.max(0.01)).floor().min(f64::from(job.waiting()));
             coming -= covered * one.cpus;
             let mut wanted = job.waiting() - covered as u32;
-            for name in &names {
+            if wanted == 0 {
+                continue;
+            }
+            // Most machines hold nothing that may be stopped for this job.
+            let above = job.spec().priority as usize + 1;
+            let owed = guaranteed
+                && (0..usage.len())
+                    .any(|team| team != job.team && self.beyond_guarantee(team, usage));
+            for (name, by_priority) in &working {
                 if wanted == 0 {
                     break;
                 }
-                let victims = self.victims(&id, name, &mut wanted, usage, now);
-                self.stop_tasks(&id, name, victims);
+                if owed || by_priority[above..].iter().any(|cpus| *cpus > 0.0) {
+                    let victims = self.victims(&id, name, &mut wanted, usage, now);
+                    self.stop_tasks(&id, name, victims);
+                }
             }
         }
     }
@@ -369,8 +375,11 @@
             return chosen;
         }
         let Some(mut free) = machine.free() else { return chosen };
+        if !within_limit(team, usage[job.team].plus(one)) {
+            return chosen;
+        }
         let mut losses: Vec<(f64, &(TaskId, u64), &Job)> = Vec::new();
-        for (key, held) in &machine.held {
+        for (key, held) in machine.held.iter() {
             let Some(other) = self.jobs.get(&key.0.job) else { continue };
             if let Some(loss) = self.loss(job, other, held, now) {
                 losses.push((loss, key, other));
@@ -404,9 +413,7 @@
                 return chosen;
             }
             free = room;
-            free.cpus -= need.cpus;
-            free.gpus -= need.gpus;
-            free.memory_gb -= need.memory_gb;
+            free.take(&need);
             usage.copy_from_slice(&after);
             usage[job.team] = usage[job.team].plus(one);
             *wanted -= 1;
@@ -471,9 +478,9 @@
     }
 }
 
-fn roomiest_zone(rooms: &[Room], candidates: &[usize], need: &Need) -> String {
+fn roomiest_zone(rooms: &[Room], candidates: &[(usize, bool)], need: &Need) -> String {
     let mut by_zone: BTreeMap<&str, f64> = BTreeMap::new();
-    for &n in candidates {
+    for &(n, _) in candidates {
         let slots = (rooms[n].free.cpus / need.cpus.max(0.01)).floor();
         *by_zone.entry(&rooms[n].zone).or_default() += slots;
     }
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -4,7 +4,7 @@
 
 use crate::config::Config;
 use crate::job::{Job, JobState, Placed};
-use crate::machine::{Held, HeldState, Machine, MachineState, Need, Recorded};
+use crate::machine::{Held, HeldState, Machine, MachineState, Recorded};
 use crate::renting::Renting;
 use crate::team::{self, Usage};
 use corkfield_wire::cloud::{ListedMachine, ListedState, MachineType, RentRequest, MAX_DELETE};
@@ -13,7 +13,7 @@
 use corkfield_wire::{JobId, TaskId, TaskSet};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Chunks of finished numbers in one settling write.
@@ -91,6 +91,7 @@
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) machines: BTreeMap<String, Machine>,
     gone: VecDeque<String>,
+    gone_names: HashSet<String>,
     /// Unfinished jobs that are not claimed yet: their tasks are let be.
     unclaimed: BTreeSet<JobId>,
     /// Machines recorded by earlier planners whose tasks are not known yet (S7).
@@ -112,6 +113,7 @@
             jobs: BTreeMap::new(),
             machines: BTreeMap::new(),
             gone: VecDeque::new(),
+            gone_names: HashSet::new(),
             unclaimed: BTreeSet::new(),
             unfenced: BTreeSet::new(),
             actions: Vec::new(),
@@ -243,8 +245,7 @@
         for machine in self.machines.values_mut() {
             for ((task, attempt), held) in machine.held.iter_mut().filter(|((t, _), _)| t.job == id)
             {
-                held.spec = Some(Need::of(job.spec()));
-                held.team = Some(team);
+                held.belongs_to(job.spec(), team);
                 if held.state == HeldState::Done {
                     job.finish(task.index);
                 } else if held.takes_room() && !job.active().contains_key(&task.index) {
@@ -406,7 +407,7 @@
         if report.term > self.term {
             return Verdict::HigherTerm(report.term);
         }
-        if self.gone.iter().any(|name| *name == report.machine) {
+        if self.gone_names.contains(&report.machine) {
             return Verdict::Stale;
         }
         let known = self.machines.contains_key(&report.machine);
@@ -523,6 +524,7 @@
             since: now,
             spec: None,
             team: None,
+            priority: None,
             ours: false,
             stop: None,
         });
@@ -534,8 +536,7 @@
             // Cancelled, done, or not claimed yet; stopped once all jobs are claimed.
             return;
         };
-        held.spec = Some(Need::of(job.spec()));
-        held.team = Some(job.team);
+        held.belongs_to(job.spec(), job.team);
         let index = task.task.index;
         match state {
             HeldState::Done => {
@@ -656,7 +657,7 @@
             return;
         };
         let mut saving: Vec<((TaskId, u64), Duration)> = Vec::new();
-        for (key, held) in &machine.held {
+        for (key, held) in machine.held.iter() {
             let Some(job) = self.jobs.get(&key.0.job) else {
                 continue;
             };
@@ -698,7 +699,7 @@
             return Vec::new();
         }
         let mut orders = Vec::new();
-        for ((task, attempt), held) in &mut machine.held {
+        for ((task, attempt), held) in machine.held.iter_mut() {
             let job = self.jobs.get(&task.job);
             if job.is_none() && self.unclaimed.contains(&task.job) {
                 continue;
@@ -723,7 +724,7 @@
         orders.truncate(MAX_ORDERS);
         let current = (machine.session, machine.seq) == (session, seq);
         if may_start && current && machine.takes_work(now, Duration::MAX) {
-            for ((task, attempt), held) in &mut machine.held {
+            for ((task, attempt), held) in machine.held.iter_mut() {
                 if held.state != HeldState::Assigned || orders.len() >= MAX_ORDERS {
                     continue;
                 }
@@ -783,9 +784,13 @@
             }
         }
         self.unfenced.remove(name);
-        self.gone.push_back(name.to_owned());
+        if self.gone_names.insert(name.to_owned()) {
+            self.gone.push_back(name.to_owned());
+        }
         if self.gone.len() > MAX_GONE {
-            self.gone.pop_front();
+            if let Some(oldest) = self.gone.pop_front() {
+                self.gone_names.remove(&oldest);
+            }
         }
     }
 
@@ -802,7 +807,7 @@
         let mut listed: BTreeSet<&str> = BTreeSet::new();
         for entry in list {
             listed.insert(&entry.name);
-            if self.gone.iter().any(|name| *name == entry.name) {
+            if self.gone_names.contains(&entry.name) {
                 continue;
             }
             if entry.state == ListedState::Failed {
@@ -846,30 +851,34 @@
     /// Everything that only time brings about.
     pub fn tick(&mut self, now: Instant) {
         let lapse = self.config.lapse_after();
-        let names: Vec<String> = self.machines.keys().cloned().collect();
-        for name in &names {
-            let Some(machine) = self.machines.get_mut(name) else {
-                continue;
-            };
+        let mut unassign = Vec::new();
+        let mut lapsed = Vec::new();
+        for machine in self.machines.values_mut() {
             if !machine.lapsed
                 && machine.state() != MachineState::Booting
                 && now.saturating_duration_since(machine.answered_at) > lapse
             {
                 // S5c: no controller can have answered it for longer than its lease.
-                tracing::debug!(machine = %name, "worker lease has lapsed");
+                tracing::debug!(machine = %machine.name, "worker lease has lapsed");
                 machine.lapsed = true;
                 machine.fresh = false;
                 machine.ended_sessions = machine.session;
-                self.unfenced.remove(name);
-                self.drop_held(name, |_| true);
+                lapsed.push(machine.name.clone());
                 continue;
             }
             let silent =
                 machine.heard_at.is_none_or(|at| now.saturating_duration_since(at) > ASSIGNED_KEEP);
-            if silent {
-                self.drop_held(name, |held| held.state == HeldState::Assigned);
+            if silent && !machine.held.is_empty() {
+                unassign.push(machine.name.clone());
             }
         }
+        for name in lapsed {
+            self.unfenced.remove(&name);
+            self.drop_held(&name, |_| true);
+        }
+        for name in unassign {
+            self.drop_held(&name, |held| held.state == HeldState::Assigned);
+        }
         for job in self.jobs.values_mut() {
             if matches!(job.state(), JobState::BackingOff(until) if now >= until) {
                 job.enter(JobState::Lapsed);
@@ -887,10 +896,8 @@
         }
         let mut running: BTreeMap<&JobId, u32> = BTreeMap::new();
         for machine in self.machines.values() {
-            for ((task, _), held) in &machine.held {
-                if matches!(held.state, HeldState::Running | HeldState::Saving) {
-                    *running.entry(&task.job).or_default() += 1;
-                }
+            for (job, count) in &machine.held.totals().running {
+                *running.entry(job).or_default() += count;
             }
         }
         for (id, count) in running {
@@ -921,10 +928,13 @@
     }
 
     pub(crate) fn usage(&self) -> Vec<Usage> {
-        let teams = 0..self.config.teams.len();
-        let sum =
-            |team| self.machines.values().fold(Usage::default(), |sum, m| sum.plus(m.usage(team)));
-        teams.map(sum).collect()
+        let mut usage = vec![Usage::default(); self.config.teams.len()];
+        for machine in self.machines.values() {
+            for (sum, used) in usage.iter_mut().zip(&machine.held.totals().by_team) {
+                *sum = sum.plus(*used);
+            }
+        }
+        usage
     }
 
     /// S8: a team with a limit starts nothing while tasks may exist that are not counted.
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::sync::Arc;
 
 /// Most tasks that one job may have.
 pub const MAX_TASKS: u32 = 100_000;
@@ -14,13 +15,13 @@
 /// The id of a job, chosen by its user.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
-pub struct JobId(String);
+pub struct JobId(Arc<str>);
 
 impl JobId {
     pub fn parse(text: &str) -> Option<Self> {
         let digits = text.strip_prefix("j-")?;
         let ok = (1..=20).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit());
-        ok.then(|| Self(text.to_owned()))
+        ok.then(|| Self(text.into()))
     }
 
     pub fn as_str(&self) -> &str {
@@ -37,7 +38,7 @@
 
 impl From<JobId> for String {
     fn from(id: JobId) -> Self {
-        id.0
+        id.as_str().to_owned()
     }
 }
 
