Let dear machines stay while they are a good part of what the work needs

Ruled out by a debug log: fetches and order delays (0.4 s and 1.7 s a task), preemption (152 stops). Change: below six times they go only if the cheap ones suffice for the work.

--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -14,8 +14,10 @@
 
 /// An ordinary machine that costs this many times a spot one is dear.
 const DEAR: f64 = 2.0;
-/// Dear machines go when the cheap ones have this many times their CPUs.
+/// Dear machines go when the cheap ones have this many times their CPUs and suffice for the work.
 const MOSTLY: f64 = 4.0;
+/// Above this they go in any case: what they add is not worth their price.
+const BY_FAR: f64 = 6.0;
 
 /// The part of the keeping time after which machines beyond the likely need are returned.
 const SHORT_KEEP: f64 = 0.35;
@@ -45,6 +47,11 @@
     }
 }
 
+/// Whether dear machines are not needed beside so many cheap ones.
+fn enough_cheap(cheap: f64, dear: f64, want: f64) -> bool {
+    cheap >= BY_FAR * dear || (cheap >= MOSTLY * dear && cheap >= want)
+}
+
 impl Planner {
     /// A rental was answered, or given up without an answer. Machines of a late one turn up
     /// in the list and in reports.
@@ -90,13 +97,13 @@
         let (wide, spot_wide) = self.wanted_cpus();
         let supply = self.supply(now);
         self.rent(wide, spot_wide, supply, now);
-        self.return_dear();
+        self.return_dear(wide);
         self.return_idle(wide, supply, now);
     }
 
     /// Once most of the capacity is up at a far lower price, the dear rest is let go: its work
     /// ends, and no new work comes.
-    fn return_dear(&mut self) {
+    fn return_dear(&mut self, want: f64) {
         let mut cheap = 0.0;
         let mut dear = Vec::new();
         let mut dear_cpus = 0.0;
@@ -114,7 +121,8 @@
         }
         // Work that must not run on spot machines needs them.
         let all_spot = self.jobs.values().all(|job| job.spec().spot);
-        if cheap < MOSTLY * dear_cpus || !all_spot || !self.is_complete() {
+        let enough = enough_cheap(cheap, dear_cpus, want);
+        if !enough || !all_spot || !self.is_complete() {
             return;
         }
         for name in dear {
@@ -203,7 +211,7 @@
                         && want <= spot_want
                         && kind.spot_price > 0.0
                         && kind.price > DEAR * kind.spot_price
-                        && cheap >= MOSTLY * (dear_cpus + kind.cpus);
+                        && enough_cheap(cheap, dear_cpus + kind.cpus, want);
                     let useful = if spot { spot_want > 0.0 } else { !dear };
                     if waits || under_way || !useful || !self.somebody_fits(kind, zone, spot) {
                         continue;
