--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -254,7 +254,19 @@
                 }
             }
         }
-        tracing::debug!(job = %id, generation = job.record.generation, claims = job.record.claims, "claimed");
+        let spec = job.spec();
+        tracing::debug!(
+            job = %id,
+            class = %spec.class,
+            tasks = spec.tasks,
+            cpus = spec.cpus,
+            estimate_s = spec.estimate_s,
+            deadline_s = spec.deadline_s,
+            age_s = age.as_secs_f64(),
+            generation = job.record.generation,
+            claims = job.record.claims,
+            "claimed"
+        );
         self.jobs.insert(id, job);
     }
 
@@ -733,8 +745,9 @@
                 };
                 // The order's generation must be that of the job's record.
                 debug_assert_eq!(*attempt >> 24, job.record.generation);
+                let waited_ms = now.saturating_duration_since(held.since).as_millis();
                 held.enter(HeldState::Ordered { session, seq }, now);
-                tracing::debug!(%task, machine = name, attempt, seq, "start ordered");
+                tracing::debug!(%task, machine = name, attempt, seq, waited_ms, "start ordered");
                 orders.push(Order::Start { task: task.clone(), attempt: *attempt });
             }
         }
