Give up the few machines that don't answer after a take-over

Ruled out: processor time, claims, the state service. Change: an eighth of the machines at most, silent for a report interval and 2 s, is returned; the answered deletion proves them gone (S5b).

--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -28,6 +28,12 @@
 /// A claim held this long without a failure is refunded.
 const HEALTHY: Duration = Duration::from_secs(10);
 
+/// After a take-over machines have a report interval and this long to show what they hold.
+const FENCE_PATIENCE: Duration = Duration::from_secs(2);
+/// So many machines that don't, or that part of all, are given up; never most of a small fleet.
+const FEW_UNFENCED: usize = 2;
+const UNFENCED_PART: usize = 8;
+
 /// What the world outside should do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -96,6 +102,8 @@
     unclaimed: BTreeSet<JobId>,
     /// Machines recorded by earlier planners whose tasks are not known yet (S7).
     unfenced: BTreeSet<String>,
+    /// Since when there are any.
+    unfenced_since: Option<Instant>,
     pub(crate) actions: Vec<Action>,
     pub(crate) rng: SmallRng,
     pub(crate) renting: Renting,
@@ -116,6 +124,7 @@
             gone_names: HashSet::new(),
             unclaimed: BTreeSet::new(),
             unfenced: BTreeSet::new(),
+            unfenced_since: None,
             actions: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
             renting: Renting::new(term),
@@ -196,6 +205,7 @@
         machine.answered_at = now + self.config.answer_limit;
         machine.enter(MachineState::Up);
         self.unfenced.insert(name.to_owned());
+        self.unfenced_since.get_or_insert(now);
         self.machines.insert(name.to_owned(), machine);
     }
 
@@ -205,6 +215,30 @@
         waiting.map(|m| (m.name.clone(), m.addr.clone(), m.session.max(1))).collect()
     }
 
+    /// A few machines that don't answer hold up every task claimed before, until they lapse or
+    /// the list drops them half a minute later. Returned ones are surely gone (S5b), so those
+    /// few are given up. Where many are silent it is more likely a zone, or this controller,
+    /// that is cut off: then their work is worth the wait.
+    fn give_up_unfenced(&mut self, now: Instant) {
+        let patience = self.config.report_interval + FENCE_PATIENCE;
+        let machines = self.machines.len();
+        let few = FEW_UNFENCED.min(machines / 2).max(machines / UNFENCED_PART);
+        let since = self.unfenced_since;
+        let waited = since.is_some_and(|since| now.saturating_duration_since(since) >= patience);
+        if !waited || self.unfenced.is_empty() || self.unfenced.len() > few {
+            return;
+        }
+        for name in &self.unfenced {
+            if let Some(machine) = self.machines.get_mut(name) {
+                if machine.state() != MachineState::Deleting {
+                    tracing::info!(machine = %name, "no answer after the take-over; returned");
+                    machine.enter(MachineState::Deleting);
+                    self.last_delete = None;
+                }
+            }
+        }
+    }
+
     /// All tasks that earlier planners started are accounted for.
     pub fn is_complete(&self) -> bool {
         self.unfenced.is_empty()
@@ -918,6 +952,7 @@
                 job.running = count;
             }
         }
+        self.give_up_unfenced(now);
         self.tick_machines(now);
     }
 
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -142,6 +142,46 @@
     assert_eq!(job.active().len(), 1, "taken up where it runs");
 }
 
+#[test]
+fn a_few_machines_that_stay_silent_after_a_take_over_are_given_up_and_many_are_waited_for() {
+    let now = Instant::now();
+    for (silent, given_up) in [(2, true), (12, false)] {
+        let mut planner = planner(7);
+        let machine = MachineRecord {
+            addr: "10.0.0.9:9000".into(),
+            machine_type: "box".into(),
+            zone: "z".into(),
+            spot: false,
+            recorded_ms: 0,
+        };
+        for n in 1..=24 {
+            planner.recorded_machine(&format!("host-{n}"), &machine, Duration::ZERO, now);
+        }
+        planner.claimed(record(4, 2), TaskSet::default(), 5, Duration::ZERO, now);
+        for n in silent + 1..=24 {
+            let mut report = report(9, 7, Vec::new());
+            report.machine = format!("host-{n}");
+            planner.on_report(&report, true, now);
+        }
+        planner.tick(now + Duration::from_secs(3));
+        planner.take_actions();
+        planner.tick(now + Duration::from_secs(5));
+        let returned: Vec<String> = planner
+            .take_actions()
+            .into_iter()
+            .filter_map(|action| match action {
+                Action::Delete(names) => Some(names),
+                _ => None,
+            })
+            .flatten()
+            .collect();
+        assert_eq!(returned.len(), if given_up { silent } else { 0 });
+        assert!(!planner.is_complete(), "S7: only the answer proves them gone");
+        planner.deleted(&returned);
+        assert_eq!(planner.is_complete(), given_up);
+    }
+}
+
 #[test]
 fn a_task_is_started_elsewhere_only_after_the_lease_has_surely_lapsed() {
     let now = Instant::now();
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -157,6 +157,8 @@
         let hung = world.ledger.machine_of(&task(&job, 0)).expect("running");
         let worker = world.cloud.worker(&hung).expect("a worker");
         worker.set_hung(true);
+        // Otherwise the machine would be returned after a while, which settles it as well.
+        world.cloud.down.set(true);
         secs(1.0).await;
         let planner = world.planner_node();
         world.restart(planner, 1.0).await;
