Tell machines that hear nothing, and workers that count anew

Cause: a machine whose reports come but whom nothing reaches was chosen for starts with every report, and its reports kept a take-over's fence open, since each answer counted as if it renewed the lease. A worker back within an instant and counting from 1 was silent for good. Change: two reports without the starts sent make a machine deaf, until it answers a direct order; an answer that the next report shows was not taken renews nothing; numbers or terms that fall mean a new life, and the machine is returned. Stories for these, for late copies of reports and for controllers back at once; each guard's test was seen to fail with the guard taken out, but for the controllers' story, which guards nothing new.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -33,6 +33,19 @@
     Yes,
 }
 
+/// Whether what is ordered reaches the worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hearing {
+    Good,
+    /// Starts were not taken, this many reports in a row.
+    Doubtful(u32),
+    /// Its reports come, but nothing reaches it: no supply until it answers.
+    Deaf,
+}
+
+/// So many reports in a row without the starts that were sent before them.
+const DEAF_AFTER: u32 = 2;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeldState {
     /// Chosen, but no order has left yet.
@@ -209,6 +222,14 @@
     pub(crate) heard_at: Option<Instant>,
     /// The last moment at which a report of it can have been answered with 200.
     pub(crate) answered_at: Instant,
+    /// The same before the newest answer, in case that one was not received.
+    answered_before: Instant,
+    answered_term: u64,
+    /// The highest term that its reports have shown.
+    pub(crate) shown_term: u64,
+    hearing: Hearing,
+    /// The newest of its reports that were older than what is known, and how many came.
+    pub(crate) behind: ((u64, u64), u32),
     pub(crate) lapsed: bool,
     pub(crate) notice: bool,
     pub(crate) idle_since: Option<Instant>,
@@ -251,6 +272,11 @@
             rented_at: now,
             heard_at: None,
             answered_at: now,
+            answered_before: now,
+            answered_term: 0,
+            shown_term: 0,
+            hearing: Hearing::Good,
+            behind: ((0, 0), 0),
             lapsed: false,
             notice: false,
             idle_since: None,
@@ -277,6 +303,44 @@
         self.state = state;
     }
 
+    pub fn hearing(&self) -> Hearing {
+        self.hearing
+    }
+
+    /// The one place where its hearing changes. `taken` tells what its newest report says of
+    /// the starts sent before; an answer to a direct order proves that it hears.
+    pub(crate) fn heard(&mut self, taken: bool) {
+        let next = match (taken, self.hearing) {
+            (true, _) => Hearing::Good,
+            (false, Hearing::Good) => Hearing::Doubtful(1),
+            (false, Hearing::Doubtful(times)) if times + 1 < DEAF_AFTER => {
+                Hearing::Doubtful(times + 1)
+            }
+            (false, _) => Hearing::Deaf,
+        };
+        if (next == Hearing::Deaf) != (self.hearing == Hearing::Deaf) {
+            tracing::info!(machine = %self.name, from = ?self.hearing, to = ?next, "hearing");
+        }
+        self.hearing = next;
+    }
+
+    /// Its report is answered with 200 under this term.
+    pub(crate) fn answered(&mut self, term: u64, now: Instant) {
+        self.answered_before = self.answered_at;
+        self.answered_at = now;
+        self.answered_term = term;
+    }
+
+    /// Its next report of its own has come, with the term given. A worker sends it only once it
+    /// has taken the answer to the one before or given it up. So a lower term than that answer's
+    /// shows that the answer was not taken, and renewed no lease: otherwise a machine that
+    /// nothing reaches would hold up a take-over for as long as its reports come.
+    pub(crate) fn reported(&mut self, term: u64) {
+        if term < self.answered_term {
+            self.answered_at = self.answered_before;
+        }
+    }
+
     /// Room that no task takes; none while something of unknown size is there.
     pub(crate) fn free(&self) -> Option<Need> {
         let size = self.size.as_ref()?;
@@ -310,6 +374,7 @@
             && self.fresh
             && !self.lapsed
             && !self.notice
+            && self.hearing != Hearing::Deaf
             && self.recorded == Recorded::Yes
             && self.heard_at.is_some_and(|at| now.duration_since(at) <= silence)
             && self.shunned_until.is_none_or(|until| now >= until)
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -4,7 +4,7 @@
 
 use crate::config::Config;
 use crate::job::{Job, JobState, Placed};
-use crate::machine::{Held, HeldState, Machine, MachineState, Recorded};
+use crate::machine::{Hearing, Held, HeldState, Machine, MachineState, Recorded};
 use crate::renting::Renting;
 use crate::team::{self, Usage};
 use corkfield_wire::cloud::{ListedMachine, ListedState, MachineType, RentRequest, MAX_DELETE};
@@ -34,6 +34,10 @@
 const FEW_UNFENCED: usize = 2;
 const UNFENCED_PART: usize = 8;
 
+/// So many reports with low order numbers, each above the one before, and no others, are a reason
+/// to ask the worker whether it counts anew.
+const BEHIND_REPORTS: u32 = 2;
+
 /// What the world outside should do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -209,10 +213,44 @@
         self.machines.insert(name.to_owned(), machine);
     }
 
-    /// Machines that have to be asked, under our term, what they hold.
+    /// Machines that have to be asked, under our term, what they hold, or whether they hear.
     pub fn fence_targets(&self) -> Vec<(String, String, u64)> {
-        let waiting = self.unfenced.iter().filter_map(|name| self.machines.get(name));
-        waiting.map(|m| (m.name.clone(), m.addr.clone(), m.session.max(1))).collect()
+        let asked = self.machines.values().filter(|machine| {
+            !machine.addr.is_empty()
+                && machine.state() != MachineState::Deleting
+                && (machine.hearing() == Hearing::Deaf
+                    || machine.behind.1 >= BEHIND_REPORTS
+                    || self.unfenced.contains(&machine.name))
+        });
+        asked.map(|m| (m.name.clone(), m.addr.clone(), m.session.max(1))).collect()
+    }
+
+    /// The newest order number known of a machine: what it says in answer to a question asked
+    /// after this is newer.
+    pub fn known_order(&self, name: &str) -> (u64, u64) {
+        self.machines.get(name).map_or((0, 0), |m| (m.session, m.seq))
+    }
+
+    /// A machine's answer to direct orders that were sent when `known` was the newest order
+    /// number known of it.
+    pub fn on_answer(&mut self, report: &Report, known: (u64, u64), now: Instant) -> Verdict {
+        let verdict = self.on_report(report, false, now);
+        if (report.session, report.seq) <= known {
+            self.restarted(&report.machine);
+        }
+        verdict
+    }
+
+    /// A worker that counts anew has lost all its tasks, and its numbers no longer tell old
+    /// reports from new ones. So it is not trusted again: the machine is returned.
+    fn restarted(&mut self, name: &str) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            if machine.state() != MachineState::Deleting {
+                tracing::info!(machine = name, "its worker began anew; returned");
+                machine.enter(MachineState::Deleting);
+                self.last_delete = None;
+            }
+        }
     }
 
     /// A few machines that don't answer hold up every task claimed before, until they lapse or
@@ -472,12 +510,27 @@
             )
         });
         // Held-back messages: older ones never count (S10), nor do those of sessions that
-        // are known to have ended (S5).
-        if report.session <= machine.ended_sessions
-            || (report.session, report.seq) <= (machine.session, machine.seq)
-        {
+        // are known to have ended (S5). If they go on coming, and only they, the worker may have
+        // begun to count anew.
+        let order = (report.session, report.seq);
+        if report.session <= machine.ended_sessions || order <= (machine.session, machine.seq) {
+            if own_report && order > machine.behind.0 {
+                machine.behind = (order, machine.behind.1 + 1);
+            }
             return Verdict::Stale;
         }
+        // The highest term that a worker has seen never falls.
+        if report.term < machine.shown_term {
+            self.restarted(&report.machine);
+            return Verdict::Stale;
+        }
+        machine.shown_term = report.term;
+        machine.behind = ((0, 0), 0);
+        if own_report {
+            machine.reported(report.term);
+        } else {
+            machine.heard(true);
+        }
         machine.addr.clone_from(&report.addr);
         let gap = machine.heard_at.map(|at| now.saturating_duration_since(at));
         let prompt = gap.is_some_and(|gap| gap <= self.config.report_interval.mul_f64(1.5));
@@ -525,8 +578,12 @@
         now: Instant,
     ) {
         let mut reported: BTreeSet<(TaskId, u64)> = BTreeSet::new();
+        let mut taken = false;
         for task in &report.tasks {
-            reported.insert((task.task.clone(), task.attempt));
+            let key = (task.task.clone(), task.attempt);
+            let held = self.machines.get(name).and_then(|machine| machine.held.get(&key));
+            taken |= held.is_some_and(|held| matches!(held.state, HeldState::Ordered { .. }));
+            reported.insert(key);
             self.sync_task(name, task, prompt, now);
         }
         let (session, seq) = (report.session, report.seq);
@@ -544,9 +601,16 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
-        let lost: Vec<(TaskId, u64)> =
-            machine.held.iter().filter(|(k, h)| missing(k, h)).map(|(k, _)| k.clone()).collect();
-        for key in lost {
+        let lost: Vec<((TaskId, u64), bool)> = machine
+            .held
+            .iter()
+            .filter(|(k, h)| missing(k, h))
+            .map(|(k, h)| (k.clone(), matches!(h.state, HeldState::Ordered { .. })))
+            .collect();
+        if taken || lost.iter().any(|(_, ordered)| *ordered) {
+            machine.heard(taken);
+        }
+        for (key, _) in lost {
             self.release(name, &key);
         }
     }
@@ -740,7 +804,7 @@
         let Some(machine) = self.machines.get_mut(name) else {
             return Vec::new();
         };
-        machine.answered_at = now;
+        machine.answered(self.term, now);
         if !machine.fresh {
             return Vec::new();
         }
@@ -910,6 +974,10 @@
                 machine.lapsed = true;
                 machine.fresh = false;
                 machine.ended_sessions = machine.session;
+                let ordered = |held: &Held| matches!(held.state, HeldState::Ordered { .. });
+                if machine.held.values().any(ordered) {
+                    machine.heard(false);
+                }
                 lapsed.push(machine.name.clone());
                 continue;
             }
--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -1,7 +1,7 @@
 //! Renting and returning machines.
 
 use crate::job::Job;
-use crate::machine::{Machine, MachineState};
+use crate::machine::{Hearing, Machine, MachineState};
 use crate::planner::{Action, Planner};
 use corkfield_wire::cloud::{MachineType, RentRequest, MAX_RENT};
 use corkfield_wire::JobSpec;
@@ -161,6 +161,7 @@
             matches!(m.state(), MachineState::Up | MachineState::Booting)
                 && !m.notice
                 && !m.lapsed
+                && m.hearing() != Hearing::Deaf
                 && !silent(m)
         };
         let rented: f64 = self
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -182,6 +182,48 @@
     }
 }
 
+#[test]
+fn answers_that_a_machine_never_took_do_not_hold_up_a_take_over() {
+    let start = Instant::now();
+    let mut planner = planner(7);
+    let machine = MachineRecord {
+        addr: "10.0.0.9:9000".into(),
+        machine_type: "box".into(),
+        zone: "z".into(),
+        spot: false,
+        recorded_ms: 0,
+    };
+    for name in ["host-1", "host-2", "host-3"] {
+        planner.recorded_machine(name, &machine, Duration::ZERO, start);
+    }
+    // Its reports come, always under the former term: our answers don't reach it.
+    for round in 0..8 {
+        let now = start + Duration::from_secs(4 * round);
+        let verdict = planner.on_report(&report(round + 2, 6, Vec::new()), true, now);
+        planner.tick(now);
+        if verdict == Verdict::Accept {
+            planner.orders("host-1", 1, round + 2, true, now);
+        }
+    }
+    assert!(planner.is_complete(), "the answer limit and a lease have passed");
+}
+
+#[test]
+fn a_worker_whose_term_falls_has_begun_anew() {
+    let now = Instant::now();
+    let (mut planner, _) = with_start_sent(now);
+    planner.take_actions();
+    // Numbers above the known ones, but a worker never forgets the highest term it has seen.
+    assert_eq!(planner.on_report(&report(5, 0, Vec::new()), true, now), Verdict::Stale);
+    let placed = planner.job(&id()).expect("claimed").active().len();
+    assert_eq!(placed, 1, "it settles nothing");
+    planner.tick(now + Duration::from_secs(1));
+    let returned = Action::Delete(vec!["host-1".into()]);
+    assert!(planner.take_actions().contains(&returned));
+    planner.deleted(&["host-1".into()]);
+    assert!(planner.job(&id()).expect("claimed").active().is_empty());
+}
+
 #[test]
 fn a_task_is_started_elsewhere_only_after_the_lease_has_surely_lapsed() {
     let now = Instant::now();
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -810,6 +810,7 @@
         let body = serde_json::to_vec(&DirectOrders { term, session, orders: orders.clone() });
         let client = Client::new(node.network.clone(), addr, 1, 256 * 1024);
         let body = body.unwrap_or_default();
+        let known = planner.borrow().known_order(machine);
         let reply = match client.request("POST", PATH_COMMANDS, &body, DIRECT_TIMEOUT).await {
             Ok(reply) => reply,
             Err(error) => {
@@ -820,7 +821,11 @@
         let Ok(report) = serde_json::from_slice::<Report>(&reply.body) else {
             return;
         };
-        let verdict = planner.borrow_mut().on_report(&report, false, now());
+        if report.machine != machine {
+            tracing::debug!(machine, other = %report.machine, "another machine answered");
+            return;
+        }
+        let verdict = planner.borrow_mut().on_answer(&report, known, now());
         if let Verdict::HigherTerm(term) = verdict {
             node.leader.outbid(term);
             return;
--- /dev/null
+++ b/crates/corkfield/tests/doubts/mod.rs
@@ -0,0 +1,128 @@
+//! Machines that hear nothing, copies of old messages, and workers or controllers that are back at
+//! once.
+
+use crate::world::{secs, spec, story, task, LEASE_S, NODES};
+use corkfield_wire::records::MACHINES;
+use corkfield_wire::worker::PATH_REPORT;
+use corkfield_wire::JobStatus;
+
+#[test]
+fn a_machine_that_hears_nothing_is_no_supply_until_it_obeys_again() {
+    story(3, |world| async move {
+        let deaf = world.cloud.workers()[0].clone();
+        let name = deaf.settings.name.clone();
+        deaf.deaf.set(true);
+        secs(1.0).await;
+        let jobs: Vec<_> = (1..=9).map(|n| spec(n, 32)).collect();
+        for job in &jobs {
+            world.submit(job, 2.0).await;
+        }
+        for job in &jobs {
+            world.until_done(&job.id, 200.0).await;
+        }
+        assert_eq!(world.ledger.starts_on(&name), 0);
+        let in_vain = world.lost_starts(&name);
+        assert!(in_vain <= 2 * 8, "{in_vain} starts were sent in vain");
+        assert!(world.cloud.worker(&name).is_some(), "it is still rented");
+        deaf.deaf.set(false);
+        let more: Vec<_> = (21..=26).map(|n| spec(n, 24)).collect();
+        secs(3.0).await;
+        for job in &more {
+            world.submit(job, 6.0).await;
+        }
+        for job in &more {
+            world.until_done(&job.id, 90.0).await;
+        }
+        assert!(world.ledger.starts_on(&name) > 0, "it is used again");
+    });
+}
+
+#[test]
+fn a_machine_that_hears_nothing_holds_up_no_take_over_for_good() {
+    story(3, |world| async move {
+        let job = spec(1, 48);
+        world.submit(&job, 15.0).await;
+        secs(5.0).await;
+        let deaf = world.cloud.workers()[0].clone();
+        deaf.deaf.set(true);
+        // It can't be returned either.
+        world.cloud.down.set(true);
+        let planner = world.planner_node();
+        world.restart(planner, 0.2).await;
+        // The answer limit, a worker's lease, and the rest of the work.
+        world.until_done(&job.id, 100.0).await;
+    });
+}
+
+#[test]
+fn late_copies_of_reports_prove_nothing_and_bring_nothing_back() {
+    story(3, |world| async move {
+        let job = spec(1, 24);
+        world.submit(&job, 4.0).await;
+        world.until_done(&job.id, 40.0).await;
+        let gone = world.cloud.workers()[0].clone();
+        let name = gone.settings.name.clone();
+        world.cloud.take(&name);
+        // Long enough for the list to tell.
+        secs(20.0).await;
+        let copies = gone.sent_reports();
+        let record = format!("{MACHINES}{name}");
+        for restart in [false, true] {
+            if restart {
+                // A planner that never saw the machine.
+                let planner = world.planner_node();
+                world.restart(planner, 0.1).await;
+                secs(5.0).await;
+            }
+            for copy in &copies {
+                for node in 0..NODES.len() {
+                    world.ask(node, "POST", PATH_REPORT, copy).await;
+                }
+            }
+            let next = spec(if restart { 3 } else { 2 }, 32);
+            world.submit(&next, 2.0).await;
+            world.until_done(&next.id, 40.0).await;
+            secs(15.0).await;
+            assert!(world.store.get(&record).is_none(), "no record is left behind");
+        }
+    });
+}
+
+#[test]
+fn a_worker_that_counts_anew_is_neither_silenced_for_good_nor_believed() {
+    story(3, |world| async move {
+        let job = spec(1, 30);
+        world.submit(&job, 20.0).await;
+        secs(6.0).await;
+        let lost = world.ledger.machine_of(&task(&job, 0)).expect("running");
+        let worker = world.cloud.worker(&lost).expect("a worker");
+        let old = worker.sent_reports();
+        worker.restart();
+        secs(0.5).await;
+        for copy in &old {
+            world.ask(world.planner_node(), "POST", PATH_REPORT, copy).await;
+        }
+        world.until_done(&job.id, LEASE_S + 60.0).await;
+        // Its tasks did not wait for a lease to lapse.
+        let starts = world.ledger.starts_in_all();
+        assert!(starts <= 30 + 8, "{starts} starts");
+        let there = world.cloud.worker(&lost);
+        assert!(there.is_none(), "the machine was returned");
+    });
+}
+
+#[test]
+fn controllers_back_at_once_in_the_middle_of_an_election_lose_nothing() {
+    story(3, |world| async move {
+        let job = spec(1, 60);
+        world.submit(&job, 4.0).await;
+        for round in 0..6 {
+            for n in 0..NODES.len() {
+                world.restart(n, 0.05 * f64::from(round % 3)).await;
+                secs(0.07 * f64::from(round)).await;
+            }
+        }
+        world.until_done(&job.id, 90.0).await;
+        assert_eq!(world.status(&job.id).await, Some(JobStatus::Done));
+    });
+}
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -1,5 +1,6 @@
 //! Whole controllers against in-memory stand-ins, in simulated time.
 
+mod doubts;
 mod world;
 
 use corkfield_fakes::{Fault, Plan};
--- a/crates/corkfield/tests/world/mod.rs
+++ b/crates/corkfield/tests/world/mod.rs
@@ -173,6 +173,11 @@
         self.start(n);
     }
 
+    /// Starts that were sent to a machine and not taken, as far as its worker can tell.
+    pub fn lost_starts(&self, machine: &str) -> u32 {
+        self.cloud.worker(machine).map_or(0, |worker| worker.unheard_starts())
+    }
+
     pub fn planner(&self) -> Option<(usize, u64)> {
         let record: PlannerRecord = serde_json::from_value(self.store.get(PLANNER)?).ok()?;
         let node = record.node?;
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -2,14 +2,14 @@
 
 use crate::ledger::Ledger;
 use crate::{json, now, sleep};
-use corkfield_http::{serve, Client, Limits, Network, Request, Response};
+use corkfield_http::{serve, Client, ClientError, Limits, Network, Request, Response};
 use corkfield_wire::worker::{
     DirectOrders, ExitCause, Order, Redirect, Report, ReportReply, TaskPhase, TaskReport,
     PATH_COMMANDS, PATH_REPORT,
 };
 use corkfield_wire::TaskId;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -56,8 +56,15 @@
     pub dead: Cell<bool>,
     /// Every task that it starts fails.
     pub sick: Cell<bool>,
+    /// Its reports arrive, but neither answers nor commands reach it.
+    pub deaf: Cell<bool>,
+    /// The reports that it sent last, for copies that come late.
+    sent: RefCell<VecDeque<Vec<u8>>>,
+    unheard: Cell<u32>,
 }
 
+const KEPT_REPORTS: usize = 64;
+
 impl FakeWorker {
     pub fn start(
         settings: WorkerSettings,
@@ -81,6 +88,9 @@
             resumed: Notify::new(),
             dead: Cell::new(false),
             sick: Cell::new(false),
+            deaf: Cell::new(false),
+            sent: RefCell::default(),
+            unheard: Cell::new(0),
         });
         tokio::task::spawn_local(worker.clone().listen(network.clone()));
         tokio::task::spawn_local(worker.clone().work());
@@ -98,6 +108,25 @@
         self.changed.notify_one();
     }
 
+    /// Reports that it sent, the oldest first, as they were.
+    pub fn sent_reports(&self) -> Vec<Vec<u8>> {
+        self.sent.borrow().iter().cloned().collect()
+    }
+
+    /// Starts in answers that did not reach it.
+    pub fn unheard_starts(&self) -> u32 {
+        self.unheard.get()
+    }
+
+    /// The machine is back within an instant: its worker counts anew and knows nothing.
+    pub fn restart(&self) {
+        self.drop_tasks();
+        let mut state = self.state.borrow_mut();
+        (state.session, state.seq, state.term) = (1, 0, 0);
+        state.renewed = now();
+        self.changed.notify_one();
+    }
+
     pub fn session(&self) -> u64 {
         self.state.borrow().session
     }
@@ -274,7 +303,7 @@
 
     async fn handle(self: Rc<Self>, request: Request) -> Response {
         self.awake().await;
-        if self.dead.get() {
+        if self.dead.get() || self.deaf.get() {
             return std::future::pending().await;
         }
         self.check_lease();
@@ -312,8 +341,25 @@
             let report = self.current();
             let sent = now();
             let body = serde_json::to_vec(&report).unwrap_or_default();
-            let answer =
+            let mut answer =
                 clients[at].request("POST", PATH_REPORT, &body, Duration::from_secs(4)).await;
+            {
+                let mut kept = self.sent.borrow_mut();
+                kept.push_back(body);
+                if kept.len() > KEPT_REPORTS {
+                    kept.pop_front();
+                }
+            }
+            if self.deaf.get() {
+                if let Ok(reply) = &answer {
+                    let reply = serde_json::from_slice::<ReportReply>(&reply.body);
+                    let orders = reply.map(|reply| reply.orders).unwrap_or_default();
+                    let starts = orders.iter().filter(|o| matches!(o, Order::Start { .. })).count();
+                    self.unheard.set(self.unheard.get() + u32::try_from(starts).unwrap_or(0));
+                }
+                sleep((sent + Duration::from_secs(4) - now()).as_secs_f64()).await;
+                answer = Err(ClientError::Timeout);
+            }
             self.awake().await;
             self.check_lease();
             match answer {
