Let a job begin that has waited two minutes, however large or idle

Change: among all but urgent jobs one that has not begun for 120 s is first, until something of it has begun.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -134,6 +134,11 @@
         self.spec().tasks.saturating_sub(self.finished.len() + active)
     }
 
+    /// None of its tasks was ever placed, as far as is known.
+    pub(crate) fn has_not_begun(&self) -> bool {
+        self.active.is_empty() && self.finished.is_empty()
+    }
+
     pub fn remaining(&self) -> u32 {
         self.spec().tasks.saturating_sub(self.finished.len())
     }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -15,6 +15,10 @@
 
 /// Work that is not urgent stops nothing that was placed more recently than this.
 const SETTLING_IN_S: f64 = 10.0;
+/// A job of which nothing has begun for this long gets what comes free next: under lasting
+/// overload the largest, the latest and idle ones would otherwise wait for its end. Once
+/// something of it has begun it stands in line as before.
+const STARVED_AFTER: Duration = Duration::from_secs(120);
 /// The part of an aim's time that passes before work is stopped for a job that waits.
 const PATIENCE: f64 = 0.55;
 
@@ -41,6 +45,7 @@
 
 struct Rank {
     urgent: bool,
+    starved: bool,
     guaranteed: bool,
     priority: Priority,
     late: bool,
@@ -76,6 +81,8 @@
         let one = usage[job.team].plus(Usage::of(job.spec(), 1));
         Rank {
             urgent: job.spec().priority <= Priority::High,
+            starved: job.has_not_begun()
+                && now.saturating_duration_since(job.accepted_at) > STARVED_AFTER,
             guaranteed: within_guarantee(&self.config.teams[job.team], one),
             priority: job.spec().priority,
             late,
@@ -96,6 +103,7 @@
         ranked.sort_by(|(a, _), (b, _)| {
             b.urgent
                 .cmp(&a.urgent)
+                .then(b.starved.cmp(&a.starved))
                 .then(b.guaranteed.cmp(&a.guaranteed))
                 .then(a.priority.cmp(&b.priority))
                 .then(a.late.cmp(&b.late))
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -356,6 +356,67 @@
     assert!(starts <= 8, "{starts} starts for four places");
 }
 
+#[test]
+fn under_lasting_overload_the_largest_and_idle_jobs_begin_within_minutes() {
+    let start = Instant::now();
+    let mut planner = planner(1);
+    planner.on_report(&report(1, 1, Vec::new()), true, start);
+    planner.machine_recorded("host-1", true);
+    let job = |n: u64, tasks: u32, priority: Priority| {
+        let mut job = record(tasks, 1);
+        job.spec.id = JobId::parse(&format!("j-{n:06}")).expect("an id");
+        job.spec.priority = priority;
+        job
+    };
+    let (largest, idle) = (job(1, 3000, Priority::Normal), job(2, 10, Priority::Low));
+    let watched = [largest.spec.id.clone(), idle.spec.id.clone()];
+    planner.claimed(largest, TaskSet::default(), 5, Duration::ZERO, start);
+    planner.claimed(idle, TaskSet::default(), 6, Duration::ZERO, start);
+    let mut running: Vec<(TaskReport, u64)> = Vec::new();
+    let mut begun = [None; 2];
+    for second in 1..240 {
+        let now = start + Duration::from_secs(second);
+        // More small jobs than there is room for, all day long.
+        let small = job(100 + second, 6, Priority::Normal);
+        planner.claimed(small, TaskSet::default(), 7, Duration::ZERO, now);
+        let reports: Vec<TaskReport> = running
+            .iter()
+            .map(|(task, until)| match second >= *until {
+                true => TaskReport {
+                    phase: TaskPhase::Exited,
+                    cause: Some(ExitCause::Done),
+                    ..task.clone()
+                },
+                false => task.clone(),
+            })
+            .collect();
+        planner.on_report(&report(second + 1, 1, reports), true, now);
+        for settlement in planner.settlements(100, now) {
+            planner.settled(&settlement, 8);
+        }
+        planner.plan(now);
+        for order in planner.orders("host-1", 1, second + 1, true, now) {
+            match order {
+                Order::Start { task, attempt } => {
+                    for (n, id) in watched.iter().enumerate() {
+                        if task.job == *id {
+                            begun[n].get_or_insert(second);
+                        }
+                    }
+                    let phase = TaskPhase::Running;
+                    let report = TaskReport { task, attempt, phase, cause: None, saved: None };
+                    running.push((report, second + 5));
+                }
+                Order::Stop { .. } => {}
+                Order::Forget { task, .. } => running.retain(|(t, _)| t.task != task),
+            }
+        }
+    }
+    for begun in begun {
+        assert!(begun.is_some_and(|second| second < 200), "{begun:?}");
+    }
+}
+
 #[test]
 fn held_back_reports_are_not_taken() {
     let now = Instant::now();
