--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -324,6 +324,12 @@
         self.hearing = next;
     }
 
+    /// Its first report, or the first after a lapse, is going to be answered, perhaps not at
+    /// once. Counted from an answer long ago, its lease would be over before that.
+    pub(crate) fn about_to_answer(&mut self, now: Instant) {
+        self.answered_at = self.answered_at.max(now);
+    }
+
     /// Its report is answered with 200 under this term.
     pub(crate) fn answered(&mut self, term: u64, now: Instant) {
         self.answered_before = self.answered_at;
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -538,6 +538,7 @@
         machine.notice = report.notice_s.is_some();
         if machine.state() == MachineState::Booting {
             machine.enter(MachineState::Up);
+            machine.about_to_answer(now);
         }
         machine.session = report.session;
         machine.seq = report.seq;
@@ -549,7 +550,10 @@
         if !machine.fresh {
             return Verdict::Accept;
         }
-        machine.lapsed = false;
+        if machine.lapsed {
+            machine.lapsed = false;
+            machine.about_to_answer(now);
+        }
         if machine.recorded == Recorded::No {
             machine.recorded = Recorded::Writing;
             let record = MachineRecord {
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -1,7 +1,7 @@
 //! The planner alone: what settles a start, and what counts as fresh.
 
 use corkfield_core::{Action, Config, HeldState, Planner, Verdict};
-use corkfield_wire::cloud::MachineType;
+use corkfield_wire::cloud::{MachineType, RentRequest};
 use corkfield_wire::records::{JobRecord, MachineRecord};
 use corkfield_wire::settings::Team;
 use corkfield_wire::worker::{ExitCause, Order, Report, TaskPhase, TaskReport};
@@ -208,6 +208,37 @@
     assert!(planner.is_complete(), "the answer limit and a lease have passed");
 }
 
+#[test]
+fn a_machine_whose_first_answer_is_held_back_does_not_lapse_meanwhile() {
+    let start = Instant::now();
+    let mut planner = planner(1);
+    let request = RentRequest {
+        request: "r-1-1".into(),
+        machine_type: "box".into(),
+        zone: "z".into(),
+        spot: false,
+        count: 1,
+    };
+    planner.rented(&request, Ok(vec!["host-1".into()]), start);
+    // It took far longer than a worker's lease to boot.
+    let up = start + Duration::from_secs(50);
+    assert_eq!(planner.on_report(&report(1, 0, Vec::new()), true, up), Verdict::Accept);
+    planner.tick(up + Duration::from_millis(100));
+    planner.orders("host-1", 1, 1, true, up + Duration::from_millis(200));
+    let next = up + Duration::from_secs(2);
+    assert_eq!(planner.on_report(&report(2, 1, Vec::new()), true, next), Verdict::Accept);
+    // The same when it is back after a lapse.
+    let lapse = next + Duration::from_secs(20);
+    planner.tick(lapse);
+    assert_eq!(planner.on_report(&report(3, 1, Vec::new()), true, lapse), Verdict::Stale);
+    let mut back = report(4, 1, Vec::new());
+    back.session = 2;
+    assert_eq!(planner.on_report(&back, true, lapse), Verdict::Accept);
+    planner.tick(lapse + Duration::from_millis(100));
+    back.seq = 5;
+    assert_eq!(planner.on_report(&back, true, lapse), Verdict::Accept);
+}
+
 #[test]
 fn a_worker_whose_term_falls_has_begun_anew() {
     let now = Instant::now();
