Find a machine holding the image even where candidates are sampled

Cause: with more than 64 candidates a sample was ranked by image, then room, so the few machines holding an image were mostly missed and the design's rule was kept by chance only. Now they are looked at first. Zones are counted only for jobs that ask for them.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,6 +5,7 @@
 use crate::planner::{direct, Action, Planner};
 use crate::team::{within_guarantee, within_limit, Usage};
 use corkfield_wire::{JobId, Priority, TaskId};
+use rand::rngs::SmallRng;
 use rand::seq::index;
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -178,28 +179,32 @@
         let capped = within && job.record.spec.priority > Priority::High;
         let image = job.record.spec.image.as_str();
         // Whether they hold the image is looked up once: a job may place thousands of tasks.
-        let mut candidates: Vec<(usize, bool)> = Vec::new();
+        let mut holding: Vec<usize> = Vec::new();
+        let mut others: Vec<usize> = Vec::new();
         for (n, room) in rooms.iter().enumerate() {
             if !room.fits(&need) {
                 continue;
             }
             let machine = &self.machines[&room.name];
             if machine.allows(&job.record.spec) && !job.failed_on.contains(&room.name) {
-                candidates.push((n, machine.has_image(image)));
+                let list = if machine.has_image(image) { &mut holding } else { &mut others };
+                list.push(n);
             }
         }
-        if candidates.is_empty() {
+        if holding.is_empty() && others.is_empty() {
             return;
         }
         let mut zones: BTreeMap<String, u32> = BTreeMap::new();
-        for placed in job.active().values() {
-            if let Some(machine) = self.machines.get(&placed.machine) {
-                *zones.entry(machine.zone.clone()).or_default() += 1;
+        if job.record.spec.one_zone || job.record.spec.spread {
+            for placed in job.active().values() {
+                if let Some(machine) = self.machines.get(&placed.machine) {
+                    *zones.entry(machine.zone.clone()).or_default() += 1;
+                }
             }
         }
         let same_zone = job.record.spec.one_zone.then(|| match zones.keys().next() {
             Some(zone) => zone.clone(),
-            None => roomiest_zone(rooms, &candidates, &need),
+            None => roomiest_zone(rooms, holding.iter().chain(&others), &need),
         });
         let cap = job.record.spec.zone_cap();
         let mut recheck = true;
@@ -209,30 +214,30 @@
                 return;
             }
             if recheck {
-                candidates.retain(|&(n, _)| {
-                    let room = &rooms[n];
+                let fits = |n: &usize| {
+                    let room = &rooms[*n];
                     room.fits(&need)
                         && same_zone.as_ref().is_none_or(|zone| *zone == room.zone)
                         && zones.get(&room.zone).copied().unwrap_or(0) < cap
-                });
+                };
+                holding.retain(fits);
+                others.retain(fits);
             }
-            let better = |&a: &(usize, bool), &b: &(usize, bool)| {
-                let free = |(n, _): (usize, bool)| rooms[n].free.cpus;
-                (a.1.cmp(&b.1)).then(free(a).partial_cmp(&free(b)).unwrap_or(Ordering::Equal))
-            };
-            let sample = self.config.placement_sample.max(1);
-            let best = if candidates.len() > sample {
-                let chosen = index::sample(&mut self.rng, candidates.len(), sample);
-                chosen.into_iter().max_by(|&a, &b| better(&candidates[a], &candidates[b]))
-            } else {
-                (0..candidates.len()).max_by(|&a, &b| better(&candidates[a], &candidates[b]))
+            // A machine holding the image, however few of them there are; else the roomiest.
+            let list = if holding.is_empty() { &mut others } else { &mut holding };
+            let Some(at) = roomiest(rooms, list, self.config.placement_sample, &mut self.rng)
+            else {
+                return;
             };
-            let Some(best) = best else { return };
             let Some(index) = job.take_waiting() else {
                 return;
             };
-            candidates[best].1 = true;
-            let room = &mut rooms[candidates[best].0];
+            let n = list[at];
+            if holding.is_empty() {
+                others.swap_remove(at);
+                holding.push(n);
+            }
+            let room = &mut rooms[n];
             let Some(machine) = self.machines.get_mut(&room.name) else {
                 return;
             };
@@ -486,9 +491,25 @@
     }
 }
 
-fn roomiest_zone(rooms: &[Room], candidates: &[(usize, bool)], need: &Need) -> String {
+/// Where in the list the roomiest machine is, among a sample if they are many.
+fn roomiest(rooms: &[Room], list: &[usize], sample: usize, rng: &mut SmallRng) -> Option<usize> {
+    let roomier = |a: &usize, b: &usize| {
+        let free = |at: usize| rooms[list[at]].free.cpus;
+        free(*a).partial_cmp(&free(*b)).unwrap_or(Ordering::Equal)
+    };
+    match list.len() > sample.max(1) {
+        true => index::sample(rng, list.len(), sample.max(1)).into_iter().max_by(roomier),
+        false => (0..list.len()).max_by(roomier),
+    }
+}
+
+fn roomiest_zone<'a>(
+    rooms: &[Room],
+    candidates: impl Iterator<Item = &'a usize>,
+    need: &Need,
+) -> String {
     let mut by_zone: BTreeMap<&str, f64> = BTreeMap::new();
-    for &(n, _) in candidates {
+    for &n in candidates {
         let slots = (rooms[n].free.cpus / need.cpus.max(0.01)).floor();
         *by_zone.entry(&rooms[n].zone).or_default() += slots;
     }
