Return machines beyond the likely need after 10 s of idleness

Cause: on the grown catalogue 27% of what is paid is idle capacity while nothing waits, much of it machines that came free and were kept 21 s more.

--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -20,7 +20,7 @@
 const BY_FAR: f64 = 6.0;
 
 /// The part of the keeping time after which machines beyond the likely need are returned.
-const SHORT_KEEP: f64 = 0.35;
+const SHORT_KEEP: f64 = 0.17;
 const LATELY: Duration = Duration::from_secs(180);
 
 /// Machine type, zone, and whether it is a spot machine.
