Count silent machines at their worst instead of stopping teams with limits

Change: a machine that has not shown what it holds counts as wholly used by each limited team; within that, jobs at their first generation start (S8).

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -3,7 +3,7 @@
 use crate::job::Job;
 use crate::machine::{Held, HeldState, Need};
 use crate::planner::{direct, Action, Planner};
-use crate::team::{within_guarantee, within_limit, Usage};
+use crate::team::{is_limited, within_guarantee, within_limit, Usage};
 use corkfield_wire::{JobId, Priority, TaskId};
 use rand::rngs::SmallRng;
 use rand::seq::index;
@@ -95,10 +95,10 @@
 
     /// Jobs with waiting tasks that may be started now, in order.
     fn queue(&self, usage: &[Usage], now: Instant) -> Vec<JobId> {
-        let uncounted = self.has_uncounted();
-        let waiting = self.jobs.iter().filter(|(_, job)| {
-            job.may_start() && job.waiting() > 0 && self.placeable(job, uncounted)
-        });
+        let waiting = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.may_start() && job.waiting() > 0 && self.placeable(job));
         let mut ranked: Vec<(Rank, JobId)> =
             waiting.map(|(id, job)| (self.rank(job, usage, now), id.clone())).collect();
         ranked.sort_by(|(a, _), (b, _)| {
@@ -119,9 +119,19 @@
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Tasks of jobs that are not known: what they take of a limit can't be told.
-    fn has_uncounted(&self) -> bool {
-        self.machines.values().any(|m| m.held.totals().uncounted)
+    /// The most that tasks not known yet can use (S8): all of each machine that has not shown
+    /// what it holds, or holds tasks of jobs that are not known. A worker starts nothing beyond
+    /// its machine's size, and any team may be the one that uses it. `None` while a size is not
+    /// known.
+    fn hidden_usage(&self) -> Option<Usage> {
+        let mut hidden = Usage::default();
+        for machine in self.machines.values() {
+            if self.is_unfenced(&machine.name) || machine.held.totals().uncounted {
+                let size = machine.size.as_ref()?;
+                hidden = hidden.plus(Usage { cpus: size.cpus, gpus: size.gpus });
+            }
+        }
+        Some(hidden)
     }
 
     /// Assigns waiting tasks to machines with room.
@@ -147,11 +157,12 @@
             return;
         }
         let mut usage = self.usage();
+        let hidden = self.hidden_usage();
         // First what comes before the rest because it is within a guarantee, and no more of it
         // than that; then what is left, in the order that results.
         for within in [true, false] {
             for id in self.queue(&usage, now) {
-                self.place_job(&id, within, &mut rooms, &mut usage, now);
+                self.place_job(&id, within, &mut rooms, &mut usage, hidden, now);
                 if within {
                     self.reserve(&id, &mut rooms);
                 }
@@ -168,6 +179,7 @@
         within: bool,
         rooms: &mut [Room],
         usage: &mut [Usage],
+        hidden: Option<Usage>,
         now: Instant,
     ) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -176,6 +188,11 @@
         let need = Need::of(&job.record.spec);
         let one = Usage::of(&job.record.spec, 1);
         let team = &self.config.teams[job.team];
+        let hidden = match hidden {
+            Some(hidden) => hidden,
+            None if is_limited(team) => return,
+            None => Usage::default(),
+        };
         let capped = within && job.record.spec.priority > Priority::High;
         let image = job.record.spec.image.as_str();
         // Whether they hold the image is looked up once: a job may place thousands of tasks.
@@ -210,7 +227,7 @@
         let mut recheck = true;
         loop {
             let next = usage[job.team].plus(one);
-            if !within_limit(team, next) || (capped && !within_guarantee(team, next)) {
+            if !within_limit(team, next.plus(hidden)) || (capped && !within_guarantee(team, next)) {
                 return;
             }
             if recheck {
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -6,7 +6,7 @@
 use crate::job::{Job, JobState, Placed};
 use crate::machine::{Hearing, Held, HeldState, Machine, MachineState, Recorded};
 use crate::renting::Renting;
-use crate::team::{self, Usage};
+use crate::team::Usage;
 use corkfield_wire::cloud::{ListedMachine, ListedState, MachineType, RentRequest, MAX_DELETE};
 use corkfield_wire::records::{JobRecord, MachineRecord, CHUNK_TASKS};
 use corkfield_wire::worker::{ExitCause, Order, Report, TaskPhase, TaskReport};
@@ -1057,13 +1057,14 @@
         usage
     }
 
-    /// S8: a team with a limit starts nothing while tasks may exist that are not counted.
-    pub(crate) fn placeable(&self, job: &Job, uncounted: bool) -> bool {
-        let limited = team::is_limited(&self.config.teams[job.team]);
-        if self.unfenced.is_empty() {
-            return !(limited && uncounted);
-        }
-        !limited && job.record.generation <= 1
+    /// S7: while machines have not shown what they hold, only jobs at their first generation,
+    /// which nobody can have started.
+    pub(crate) fn placeable(&self, job: &Job) -> bool {
+        self.unfenced.is_empty() || job.record.generation <= 1
+    }
+
+    pub(crate) fn is_unfenced(&self, machine: &str) -> bool {
+        self.unfenced.contains(machine)
     }
 
     pub fn overview(&self, now: Instant) -> Overview {
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -182,6 +182,37 @@
     }
 }
 
+#[test]
+fn a_limit_counts_all_that_silent_machines_may_hold_and_no_more() {
+    let now = Instant::now();
+    for (limit, placed) in [(11.0, 3), (8.0, 0), (100.0, 4)] {
+        let mut config = config();
+        config.teams[0].cpus_max = limit;
+        let mut planner = Planner::new(config, 7, 1);
+        planner.set_types(vec![machine_type()]);
+        let machine = MachineRecord {
+            addr: "10.0.0.9:9000".into(),
+            machine_type: "box".into(),
+            zone: "z".into(),
+            spot: false,
+            recorded_ms: 0,
+        };
+        // Two of four CPUs each are silent, one has shown that it is empty.
+        for name in ["host-1", "host-2", "host-3"] {
+            planner.recorded_machine(name, &machine, Duration::ZERO, now);
+        }
+        planner.on_report(&report(9, 7, Vec::new()), true, now);
+        let mut old = record(10, 2);
+        old.spec.id = JobId::parse("j-000002").expect("an id");
+        planner.claimed(old.clone(), TaskSet::default(), 5, Duration::ZERO, now);
+        planner.claimed(record(10, 1), TaskSet::default(), 6, Duration::ZERO, now);
+        planner.plan(now);
+        let active = |id: &JobId| planner.job(id).expect("claimed").active().len();
+        assert_eq!(active(&id()), placed, "S8: a job that nobody can have started");
+        assert_eq!(active(&old.spec.id), 0, "S7: its tasks may be on the silent machines");
+    }
+}
+
 #[test]
 fn answers_that_a_machine_never_took_do_not_hold_up_a_take_over() {
     let start = Instant::now();
