--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -351,9 +351,14 @@
         // Room that is being made already.
         let mut coming: f64 = self.machines.values().map(|m| m.held.totals().stopping_cpus).sum();
         let working = self.machines.values().filter(|m| m.takes_work(now, silence));
-        let by_priority =
-            working.map(|m| (m.name.clone(), m.held.totals().by_priority.map(|need| need.cpus)));
-        let working: Vec<(String, [f64; 4])> = by_priority.collect();
+        let mut working: Vec<(f64, String, [f64; 4])> = working
+            .map(|m| {
+                let free = m.free().map_or(0.0, |free| free.cpus);
+                (free, m.name.clone(), m.held.totals().by_priority.map(|need| need.cpus))
+            })
+            .collect();
+        // Where most is free least has to be stopped.
+        working.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(Ordering::Equal));
         for id in self.queue(usage, now) {
             let Some(job) = self.jobs.get(&id) else { continue };
             let one = Usage::of(job.spec(), 1);
@@ -373,7 +378,7 @@
             let owed = guaranteed
                 && (0..usage.len())
                     .any(|team| team != job.team && self.beyond_guarantee(team, usage));
-            for (name, by_priority) in &working {
+            for (_, name, by_priority) in &working {
                 if wanted == 0 {
                     break;
                 }
