Start what nobody can have started while machines are silent after a take-over

Job records now say from which number on no task was ever ordered to start; claims and settling writes raise it ahead of need (128 tasks at first, then thrice as many). Ruled out: processor time, claims, the state service's budget. Conclusion: kept for what it gives when a zone and the planner go together.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -46,6 +46,10 @@
     active: BTreeMap<u32, Placed>,
     retry: Vec<u32>,
     next: u32,
+    /// The next of those that no earlier owner can have started.
+    untouched: u32,
+    /// The record should allow more first starts.
+    pub(crate) unannounced: bool,
     attempts: u64,
     pub(crate) running: u32,
     pub(crate) claimed_at: Instant,
@@ -69,6 +73,7 @@
         let accepted_at = now.checked_sub(age).unwrap_or(now);
         let due_at = record.spec.deadline_s.map(|d| accepted_at + Duration::from_secs_f64(d));
         let state = if record.set_aside { JobState::SetAside } else { JobState::Active };
+        let untouched = record.begun_before;
         Self {
             record,
             version,
@@ -82,6 +87,8 @@
             active: BTreeMap::new(),
             retry: Vec::new(),
             next: 0,
+            untouched,
+            unannounced: false,
             attempts: 0,
             running: 0,
             claimed_at: now,
@@ -143,23 +150,53 @@
         self.spec().tasks.saturating_sub(self.finished.len())
     }
 
-    /// The next task to place; the caller places it.
-    pub(crate) fn take_waiting(&mut self) -> Option<u32> {
+    /// The next task to place; the caller places it. With `untouched`, only one that no earlier
+    /// owner can have started (S7).
+    pub(crate) fn take_waiting(&mut self, untouched: bool) -> Option<u32> {
+        if untouched {
+            let index =
+                Self::advance(&mut self.untouched, &self.record, &self.finished, &self.active);
+            self.announce(self.untouched);
+            return index;
+        }
         while let Some(index) = self.retry.pop() {
             if !self.finished.contains(index) && !self.active.contains_key(&index) {
                 return Some(index);
             }
         }
-        while self.next < self.spec().tasks {
-            let index = self.next;
-            self.next += 1;
-            if !self.finished.contains(index) && !self.active.contains_key(&index) {
+        let index = Self::advance(&mut self.next, &self.record, &self.finished, &self.active);
+        self.announce(self.next);
+        index
+    }
+
+    fn advance(
+        next: &mut u32,
+        record: &JobRecord,
+        finished: &TaskSet,
+        active: &BTreeMap<u32, Placed>,
+    ) -> Option<u32> {
+        while *next < record.spec.tasks.min(record.begun) {
+            let index = *next;
+            *next += 1;
+            if !finished.contains(index) && !active.contains_key(&index) {
                 return Some(index);
             }
         }
         None
     }
 
+    /// Has the record allow more first starts before they run out: that takes a write, and while
+    /// the state service is away there is none.
+    fn announce(&mut self, next: u32) {
+        let begun = self.record.begun;
+        self.unannounced |= begun < self.spec().tasks && next >= begun - begun / 4;
+    }
+
+    /// Whether some of its tasks cannot have been started by an earlier owner.
+    pub(crate) fn has_untouched(&self) -> bool {
+        self.untouched < self.spec().tasks
+    }
+
     pub(crate) fn place(&mut self, index: u32, machine: &str, attempt: u64) {
         self.active.insert(index, Placed { machine: machine.to_owned(), attempt });
     }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -182,6 +182,7 @@
         hidden: Option<Usage>,
         now: Instant,
     ) {
+        let fencing = !self.is_complete();
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -246,7 +247,7 @@
             else {
                 return;
             };
-            let Some(index) = job.take_waiting() else {
+            let Some(index) = job.take_waiting(fencing) else {
                 return;
             };
             let n = list[at];
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -410,7 +410,8 @@
                 && !job.refunded
                 && job.failures == 0
                 && now.saturating_duration_since(job.claimed_at) > HEALTHY;
-            if job.unstored().is_empty() && !display && !refund {
+            let more = std::mem::take(&mut job.unannounced);
+            if job.unstored().is_empty() && !display && !refund && !more {
                 continue;
             }
             let mut record = job.record.clone();
@@ -435,6 +436,9 @@
                 record.done = record.finished.len();
             }
             record.running = job.running;
+            if more {
+                record.begin_more();
+            }
             if refund {
                 job.refunded = true;
                 record.claims -= 1;
@@ -1057,10 +1061,10 @@
         usage
     }
 
-    /// S7: while machines have not shown what they hold, only jobs at their first generation,
-    /// which nobody can have started.
+    /// S7: while machines have not shown what they hold, only tasks that no earlier owner can
+    /// have started.
     pub(crate) fn placeable(&self, job: &Job) -> bool {
-        self.unfenced.is_empty() || job.record.generation <= 1
+        self.unfenced.is_empty() || job.has_untouched()
     }
 
     pub(crate) fn is_unfenced(&self, machine: &str) -> bool {
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -49,7 +49,9 @@
          \"apart\":false,\"loaners\":true,\"guess_s\":5.0,\"snapshot_s\":0.0,\"flush_s\":0.0}}"
     );
     let spec = JobSpec::parse(text.as_bytes()).expect("a valid submission");
-    JobRecord { generation, ..JobRecord::new(spec, 0) }
+    // All may have begun under former owners, if there were any.
+    let begun_before = if generation > 1 { u32::MAX } else { 0 };
+    JobRecord { generation, begun: u32::MAX, begun_before, ..JobRecord::new(spec, 0) }
 }
 
 fn id() -> JobId {
@@ -213,6 +215,60 @@
     }
 }
 
+#[test]
+fn while_machines_are_silent_only_tasks_that_nobody_can_have_started_are() {
+    let now = Instant::now();
+    let mut planner = planner(7);
+    let machine = MachineRecord {
+        addr: "10.0.0.9:9000".into(),
+        machine_type: "box".into(),
+        zone: "z".into(),
+        spot: false,
+        recorded_ms: 0,
+    };
+    planner.recorded_machine("host-1", &machine, Duration::ZERO, now);
+    planner.recorded_machine("host-2", &machine, Duration::ZERO, now);
+    planner.on_report(&report(9, 7, Vec::new()), true, now);
+    let mut job = record(100, 1);
+    (job.begun, job.begun_before) = (70, 0);
+    job.claim("later owner".into());
+    assert_eq!((job.generation, job.begun_before, job.begun), (2, 70, 100));
+    planner.claimed(job, TaskSet::default(), 5, Duration::ZERO, now);
+    planner.plan(now);
+    let active = planner.job(&id()).expect("claimed").active();
+    assert_eq!(active.keys().copied().collect::<Vec<_>>(), [70, 71, 72, 73], "S7");
+    planner.deleted(&["host-2".into()]);
+    planner.on_report(&report(10, 7, Vec::new()), true, now);
+    assert!(planner.is_complete());
+}
+
+#[test]
+fn first_starts_are_announced_in_the_record_before_they_are_made() {
+    let now = Instant::now();
+    let mut planner = planner(1);
+    for n in 0..120 {
+        let mut report = report(1, 1, Vec::new());
+        report.machine = format!("host-{n}");
+        planner.on_report(&report, true, now);
+        planner.machine_recorded(&report.machine, true);
+    }
+    let mut job = record(450, 1);
+    (job.begun, job.generation) = (0, 0);
+    job.claim("owner".into());
+    planner.claimed(job, TaskSet::default(), 5, Duration::ZERO, now);
+    let mut announced = Vec::new();
+    for version in 6..10 {
+        planner.plan(now);
+        let job = planner.job(&id()).expect("claimed");
+        announced.push((job.active().len(), job.record.begun));
+        assert!(job.active().keys().all(|index| *index < job.record.begun));
+        for settlement in planner.settlements(4, now) {
+            planner.settled(&settlement, version);
+        }
+    }
+    assert_eq!(announced, [(128, 128), (384, 384), (450, 450), (450, 450)]);
+}
+
 #[test]
 fn answers_that_a_machine_never_took_do_not_hold_up_a_take_over() {
     let start = Instant::now();
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -431,17 +431,14 @@
         self.claim(due).await && more
     }
 
-    /// The design's claim: one conditional transaction that sets the owner, raises the
-    /// generation and adds one to the count.
+    /// The design's claim: one conditional transaction over a few records.
     async fn claim(&self, batch: Vec<(JobRecord, u64)>) -> bool {
         let mut txn = Txn::default()
             .when(PLANNER, self.version.get())
             .when(controller_key(&self.node.name), self.me.version);
         let mut claimed = Vec::new();
         for (mut record, version) in batch {
-            record.owner = Some(self.me.incarnation.clone());
-            record.generation += 1;
-            record.claims += 1;
+            record.claim(self.me.incarnation.clone());
             if record.claims > self.node.settings.operator.claim_limit {
                 tracing::warn!(job = %record.spec.id, claims = record.claims, "claim limit reached; set aside");
                 record.set_aside = true;
@@ -537,6 +534,7 @@
         match self.node.state.txn(Use::Settling, &txn).await {
             Ok(version) => {
                 self.planner.borrow_mut().settled(&settlement, version);
+                self.node.leader.want_pass();
                 if settlement.finishes && settlement.record.is_chunked() {
                     self.drop_chunks(&settlement.record).await;
                 }
@@ -692,6 +690,7 @@
             };
             self.node.leader.planned.notify_waiters();
             self.node.leader.actions.notify_one();
+            self.node.leader.settle.notify_one();
             let pace = PASS_PACE * u32::try_from(machines).unwrap_or(u32::MAX);
             tokio::time::sleep(pace.min(PASS_PACE_MOST)).await;
         }
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -22,6 +22,13 @@
 /// Tasks whose finished numbers share one value; small enough for any sensible value limit.
 pub const CHUNK_TASKS: u32 = 1024;
 
+/// Tasks of a job that may be started for the first time before its record has to say more.
+pub const FIRST_STARTS: u32 = 128;
+
+fn all() -> u32 {
+    u32::MAX
+}
+
 pub fn job_key(id: &JobId) -> String {
     format!("{JOBS}{id}")
 }
@@ -70,6 +77,12 @@
     pub done: u32,
     #[serde(default)]
     pub running: u32,
+    /// No task from this number on was ever ordered to start. Raised before any is.
+    #[serde(default = "all")]
+    pub begun: u32,
+    /// The same when the job was claimed last: what its owner's predecessors cannot have started.
+    #[serde(default = "all")]
+    pub begun_before: u32,
     /// Set aside at the claim limit, until an operator releases it or its user cancels it.
     #[serde(default)]
     pub set_aside: bool,
@@ -86,10 +99,27 @@
             finished: TaskSet::default(),
             done: 0,
             running: 0,
+            begun: 0,
+            begun_before: 0,
             set_aside: false,
         }
     }
 
+    /// The design's claim: sets the owner, raises the generation and adds one to the count.
+    pub fn claim(&mut self, owner: String) {
+        self.owner = Some(owner);
+        self.generation += 1;
+        self.claims += 1;
+        self.begun_before = self.begun;
+        self.begin_more();
+    }
+
+    /// Makes room for more first starts: the more, the more there were.
+    pub fn begin_more(&mut self) {
+        let step = FIRST_STARTS.max(self.begun.saturating_mul(2));
+        self.begun = self.begun.saturating_add(step).min(self.spec.tasks.max(self.begun));
+    }
+
     pub fn is_chunked(&self) -> bool {
         self.spec.tasks > CHUNK_TASKS
     }
