--- a/crates/corkfield/tests/doubts/mod.rs
+++ b/crates/corkfield/tests/doubts/mod.rs
@@ -2,9 +2,10 @@
 //! once.
 
 use crate::world::{secs, spec, story, task, LEASE_S, NODES};
-use corkfield_fakes::Fault;
+use corkfield_fakes::{Fault, Plan};
 use corkfield_wire::records::MACHINES;
 use corkfield_wire::store::PATH_TXN;
+use corkfield_wire::user::{JobView, PATH_CANCEL, PATH_JOBS};
 use corkfield_wire::worker::PATH_REPORT;
 use corkfield_wire::JobStatus;
 use std::cell::Cell;
@@ -167,3 +168,75 @@
         assert_eq!(world.ledger.starts_in_all(), 9000);
     });
 }
+
+#[test]
+fn after_all_troubles_every_job_is_answered_in_time_under_a_burst_of_polls() {
+    story(3, |world| async move {
+        // One far larger than the fleet, one that fails everywhere, and many that wait.
+        let largest = spec(1, 20_000);
+        let broken = spec(2, 4);
+        world.submit(&largest, 5.0).await;
+        world.submit_plan(Plan { spec: broken.clone(), run_s: 1.0, broken: true }).await;
+        let waiting: Vec<_> = (3..40).map(|n| spec(n, 50)).collect();
+        for job in &waiting {
+            world.submit(job, 5.0).await;
+        }
+        world.store.set_down(true);
+        for n in 0..NODES.len() {
+            world.restart(n, 0.1).await;
+        }
+        secs(20.0).await;
+        world.store.set_down(false);
+        for round in 0..3 {
+            world.restart(round % NODES.len(), 0.3).await;
+            secs(1.0).await;
+        }
+        secs(6.0).await;
+        let (in_time, asked) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        for poll in 0..20 {
+            for job in waiting.iter().chain([&largest, &broken]) {
+                let (world, path) = (world.clone(), format!("{PATH_JOBS}/{}", job.id));
+                let (in_time, node) = (in_time.clone(), poll % NODES.len());
+                asked.set(asked.get() + 1);
+                tokio::task::spawn_local(async move {
+                    let begun = tokio::time::Instant::now();
+                    let answer = world.ask(node, "GET", &path, b"").await;
+                    let ok = answer.is_some_and(|(status, _)| status == 200);
+                    if ok && begun.elapsed().as_secs_f64() < 2.0 {
+                        in_time.set(in_time.get() + 1);
+                    }
+                });
+            }
+            secs(0.25).await;
+        }
+        secs(5.0).await;
+        assert_eq!(in_time.get(), asked.get());
+    });
+}
+
+#[test]
+fn late_copies_of_users_requests_change_nothing() {
+    story(2, |world| async move {
+        let (done, cancelled) = (spec(1, 4), spec(2, 40));
+        let bodies = [&done, &cancelled].map(|job| serde_json::to_vec(job).expect("serializable"));
+        world.submit(&done, 1.0).await;
+        world.submit(&cancelled, 30.0).await;
+        world.until_done(&done.id, 30.0).await;
+        assert_eq!(world.cancel(&cancelled.id).await, Some(JobStatus::Cancelled));
+        let starts = world.ledger.starts_in_all();
+        for node in 0..NODES.len() {
+            for body in &bodies {
+                let answer = world.ask(node, "POST", PATH_JOBS, body).await;
+                assert_eq!(answer.map(|(status, _)| status), Some(200), "known, and over");
+            }
+            let withdraw = format!("{PATH_JOBS}/{}/{PATH_CANCEL}", done.id);
+            let (status, body) = world.ask(node, "POST", &withdraw, b"").await.expect("an answer");
+            let view: JobView = serde_json::from_slice(&body).expect("a view");
+            assert_eq!((status, view.status), (200, JobStatus::Done));
+        }
+        secs(10.0).await;
+        assert_eq!(world.status(&cancelled.id).await, Some(JobStatus::Cancelled));
+        assert_eq!(world.status(&done.id).await, Some(JobStatus::Done));
+        assert_eq!(world.ledger.starts_in_all(), starts, "nothing starts for a copy");
+    });
+}
