--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -248,12 +248,18 @@
     /// A worker that counts anew has lost all its tasks, and its numbers no longer tell old
     /// reports from new ones. So it is not trusted again: the machine is returned.
     fn restarted(&mut self, name: &str) {
-        if let Some(machine) = self.machines.get_mut(name) {
-            if machine.state() != MachineState::Deleting {
-                tracing::info!(machine = name, "its worker began anew; returned");
-                machine.enter(MachineState::Deleting);
-                self.last_delete = None;
-            }
+        self.hand_back(name, "its worker began anew; returned");
+    }
+
+    /// Returns a machine at once, with all that it may hold; the answered deletion settles that.
+    fn hand_back(&mut self, name: &str, why: &str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if machine.state() != MachineState::Deleting {
+            tracing::info!(machine = name, "{why}");
+            machine.enter(MachineState::Deleting);
+            self.last_delete = None;
         }
     }
 
@@ -270,14 +276,8 @@
         if !waited || self.unfenced.is_empty() || self.unfenced.len() > few {
             return;
         }
-        for name in &self.unfenced {
-            if let Some(machine) = self.machines.get_mut(name) {
-                if machine.state() != MachineState::Deleting {
-                    tracing::info!(machine = %name, "no answer after the take-over; returned");
-                    machine.enter(MachineState::Deleting);
-                    self.last_delete = None;
-                }
-            }
+        for name in self.unfenced.clone() {
+            self.hand_back(&name, "no answer after the take-over; returned");
         }
     }
 
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -36,6 +36,16 @@
     }
 }
 
+fn machine_record() -> MachineRecord {
+    MachineRecord {
+        addr: "10.0.0.9:9000".into(),
+        machine_type: "box".into(),
+        zone: "z".into(),
+        spot: false,
+        recorded_ms: 0,
+    }
+}
+
 fn planner(term: u64) -> Planner {
     let mut planner = Planner::new(config(), term, 1);
     planner.set_types(vec![machine_type()]);
@@ -123,13 +133,7 @@
 fn only_a_report_under_our_term_is_fresh_after_a_take_over() {
     let now = Instant::now();
     let mut planner = planner(7);
-    let machine = MachineRecord {
-        addr: "10.0.0.9:9000".into(),
-        machine_type: "box".into(),
-        zone: "z".into(),
-        spot: false,
-        recorded_ms: 0,
-    };
+    let machine = machine_record();
     planner.recorded_machine("host-1", &machine, Duration::ZERO, now);
     planner.claimed(record(1, 2), TaskSet::default(), 5, Duration::ZERO, now);
     // A report made before the worker took our term, perhaps held back for minutes.
@@ -149,13 +153,7 @@
     let now = Instant::now();
     for (silent, given_up) in [(2, true), (12, false)] {
         let mut planner = planner(7);
-        let machine = MachineRecord {
-            addr: "10.0.0.9:9000".into(),
-            machine_type: "box".into(),
-            zone: "z".into(),
-            spot: false,
-            recorded_ms: 0,
-        };
+        let machine = machine_record();
         for n in 1..=24 {
             planner.recorded_machine(&format!("host-{n}"), &machine, Duration::ZERO, now);
         }
@@ -192,13 +190,7 @@
         config.teams[0].cpus_max = limit;
         let mut planner = Planner::new(config, 7, 1);
         planner.set_types(vec![machine_type()]);
-        let machine = MachineRecord {
-            addr: "10.0.0.9:9000".into(),
-            machine_type: "box".into(),
-            zone: "z".into(),
-            spot: false,
-            recorded_ms: 0,
-        };
+        let machine = machine_record();
         // Two of four CPUs each are silent, one has shown that it is empty.
         for name in ["host-1", "host-2", "host-3"] {
             planner.recorded_machine(name, &machine, Duration::ZERO, now);
@@ -219,13 +211,7 @@
 fn while_machines_are_silent_only_tasks_that_nobody_can_have_started_are() {
     let now = Instant::now();
     let mut planner = planner(7);
-    let machine = MachineRecord {
-        addr: "10.0.0.9:9000".into(),
-        machine_type: "box".into(),
-        zone: "z".into(),
-        spot: false,
-        recorded_ms: 0,
-    };
+    let machine = machine_record();
     planner.recorded_machine("host-1", &machine, Duration::ZERO, now);
     planner.recorded_machine("host-2", &machine, Duration::ZERO, now);
     planner.on_report(&report(9, 7, Vec::new()), true, now);
@@ -273,13 +259,7 @@
 fn answers_that_a_machine_never_took_do_not_hold_up_a_take_over() {
     let start = Instant::now();
     let mut planner = planner(7);
-    let machine = MachineRecord {
-        addr: "10.0.0.9:9000".into(),
-        machine_type: "box".into(),
-        zone: "z".into(),
-        spot: false,
-        recorded_ms: 0,
-    };
+    let machine = machine_record();
     for name in ["host-1", "host-2", "host-3"] {
         planner.recorded_machine(name, &machine, Duration::ZERO, start);
     }
