--- a/crates/corkfield/tests/doubts/mod.rs
+++ b/crates/corkfield/tests/doubts/mod.rs
@@ -240,3 +240,45 @@
         assert_eq!(world.ledger.starts_in_all(), starts, "nothing starts for a copy");
     });
 }
+
+#[test]
+fn a_controller_with_nothing_but_workers_is_replaced_in_time_and_guesses_nothing() {
+    for planning in [true, false] {
+        story(3, |world| async move {
+            let job = spec(1, 60);
+            world.submit(&job, 6.0).await;
+            secs(4.0).await;
+            let planner = world.planner_node();
+            let alone = if planning { planner } else { (planner + 1) % NODES.len() };
+            for other in ["state", "cloud"].into_iter().chain(NODES) {
+                if other != NODES[alone] {
+                    world.net.cut(NODES[alone], other);
+                }
+            }
+            // Users who still come to it are told to come back, in time and without a guess.
+            secs(6.0).await;
+            let body = serde_json::to_vec(&spec(2, 3)).expect("serializable");
+            let answer = world.ask(alone, "POST", PATH_JOBS, &body).await;
+            assert_eq!(answer.map(|(status, _)| status), Some(503));
+            let path = format!("{PATH_JOBS}/{}", job.id);
+            let answer = world.ask(alone, "GET", &path, b"").await;
+            assert_eq!(answer.map(|(status, _)| status), Some(503));
+            // Its workers are heard by the others once it may no longer answer them (S6).
+            let others = (0..NODES.len()).filter(|n| *n != alone).collect::<Vec<_>>();
+            let mut done = false;
+            for _ in 0..100 {
+                secs(1.0).await;
+                let answer = world.ask(others[0], "GET", &path, b"").await;
+                let view = answer.and_then(|(_, body)| serde_json::from_slice(&body).ok());
+                done |= view.is_some_and(|view: JobView| view.status == JobStatus::Done);
+            }
+            assert!(done, "done by way of the others");
+            assert!(others.contains(&world.planner_node()));
+            for other in ["state", "cloud"].into_iter().chain(NODES) {
+                world.net.heal(NODES[alone], other);
+            }
+            world.submit(&spec(2, 3), 1.0).await;
+            world.until_done(&spec(2, 3).id, 60.0).await;
+        });
+    }
+}
