--- a/crates/corkfield/tests/doubts/mod.rs
+++ b/crates/corkfield/tests/doubts/mod.rs
@@ -263,7 +263,8 @@
             let path = format!("{PATH_JOBS}/{}", job.id);
             let answer = world.ask(alone, "GET", &path, b"").await;
             assert_eq!(answer.map(|(status, _)| status), Some(503));
-            // Its workers are heard by the others once it may no longer answer them (S6).
+            // Its workers are heard by the others: the new planner's fence reaches them (S7), and
+            // even if it didn't, it may not answer them for long (S6). Either is enough here.
             let others = (0..NODES.len()).filter(|n| *n != alone).collect::<Vec<_>>();
             let mut done = false;
             for _ in 0..100 {
