--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -268,12 +268,20 @@
     /// few are given up. Where many are silent it is more likely a zone, or this controller,
     /// that is cut off: then their work is worth the wait.
     fn give_up_unfenced(&mut self, now: Instant) {
-        let patience = self.config.report_interval + FENCE_PATIENCE;
+        let Some(since) = self.unfenced_since else {
+            return;
+        };
+        let waited = now.saturating_duration_since(since);
         let machines = self.machines.len();
+        if self.unfenced.is_empty() {
+            let waited_s = waited.as_secs_f64();
+            tracing::info!(machines, waited_s, "all machines accounted for after the take-over");
+            self.unfenced_since = None;
+            return;
+        }
         let few = FEW_UNFENCED.min(machines / 2).max(machines / UNFENCED_PART);
-        let since = self.unfenced_since;
-        let waited = since.is_some_and(|since| now.saturating_duration_since(since) >= patience);
-        if !waited || self.unfenced.is_empty() || self.unfenced.len() > few {
+        let patience = self.config.report_interval + FENCE_PATIENCE;
+        if waited < patience || self.unfenced.len() > few {
             return;
         }
         for name in self.unfenced.clone() {
