Clean-up: a report's tasks are looked up once; no list of machines for an empty queue

Whether a start was taken is told by the function that takes the task up, not by a second look before it; preemption sorts machines only when a job waits. No change of behaviour; the tests keep their assertions.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -349,6 +349,10 @@
 
     /// Stops work of lower priority, or beyond its team's guarantee, for work that waits.
     fn preempt(&mut self, usage: &mut [Usage], now: Instant) {
+        let queue = self.queue(usage, now);
+        if queue.is_empty() {
+            return;
+        }
         let silence = self.config.silence();
         // Room that is being made already.
         let mut coming: f64 = self.machines.values().map(|m| m.held.totals().stopping_cpus).sum();
@@ -361,7 +365,7 @@
             .collect();
         // Where most is free least has to be stopped.
         working.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(Ordering::Equal));
-        for id in self.queue(usage, now) {
+        for id in queue {
             let Some(job) = self.jobs.get(&id) else { continue };
             let one = Usage::of(job.spec(), 1);
             let guaranteed =
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -600,11 +600,8 @@
         let mut reported: BTreeSet<(TaskId, u64)> = BTreeSet::new();
         let mut taken = false;
         for task in &report.tasks {
-            let key = (task.task.clone(), task.attempt);
-            let held = self.machines.get(name).and_then(|machine| machine.held.get(&key));
-            taken |= held.is_some_and(|held| matches!(held.state, HeldState::Ordered { .. }));
-            reported.insert(key);
-            self.sync_task(name, task, prompt, now);
+            reported.insert((task.task.clone(), task.attempt));
+            taken |= self.sync_task(name, task, prompt, now);
         }
         let (session, seq) = (report.session, report.seq);
         let missing = |key: &(TaskId, u64), held: &Held| {
@@ -635,11 +632,12 @@
         }
     }
 
-    fn sync_task(&mut self, name: &str, task: &TaskReport, prompt: bool, now: Instant) {
+    /// Takes what a report says of a task; true if that shows that a start was taken.
+    fn sync_task(&mut self, name: &str, task: &TaskReport, prompt: bool, now: Instant) -> bool {
         let key = (task.task.clone(), task.attempt);
         let job = self.jobs.get_mut(&task.task.job);
         let Some(machine) = self.machines.get_mut(name) else {
-            return;
+            return false;
         };
         let state = match (task.phase, task.cause) {
             (TaskPhase::Fetching, _) => HeldState::Fetching,
@@ -649,6 +647,7 @@
             (TaskPhase::Exited, _) => HeldState::Exited,
         };
         let before = machine.held.get(&key).map(|h| (h.state, h.since));
+        let taken = matches!(before, Some((HeldState::Ordered { .. }, _)));
         let held = machine.held.entry(key.clone()).or_insert_with(|| Held {
             state,
             since: now,
@@ -664,7 +663,7 @@
         held.enter(state, now);
         let Some(job) = job else {
             // Cancelled, done, or not claimed yet; stopped once all jobs are claimed.
-            return;
+            return taken;
         };
         held.belongs_to(job.spec(), job.team);
         let index = task.task.index;
@@ -709,6 +708,7 @@
             },
         }
         self.sweep_job(&task.task.job);
+        taken
     }
 
     fn note_run(
