A pass looks only at jobs that may start and at rooms that are open; samples for stops

Every waiting job was looked at on every machine, twice, also jobs whose record allows no more first starts yet, and others' work was stopped for those; work to stop was sought on all machines for each job. Now: only jobs with tasks that may start; rooms that nothing fits into drop out of the pass; images from one index a pass; stops from samples; and three times a pass's length of rest after it.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -175,14 +175,43 @@
         finished: &TaskSet,
         active: &BTreeMap<u32, Placed>,
     ) -> Option<u32> {
-        while *next < record.spec.tasks.min(record.begun) {
-            let index = *next;
+        Self::skip(next, record, finished, active);
+        let index = *next;
+        (index < record.spec.tasks.min(record.begun)).then(|| {
+            *next += 1;
+            index
+        })
+    }
+
+    /// Passes over what is finished or placed: if it comes off its machine, it is tried again
+    /// from another list.
+    fn skip(
+        next: &mut u32,
+        record: &JobRecord,
+        finished: &TaskSet,
+        active: &BTreeMap<u32, Placed>,
+    ) {
+        let end = record.spec.tasks.min(record.begun);
+        while *next < end && (finished.contains(*next) || active.contains_key(next)) {
             *next += 1;
-            if !finished.contains(index) && !active.contains_key(&index) {
-                return Some(index);
-            }
         }
-        None
+    }
+
+    /// How many tasks [`Self::take_waiting`] would give, at the most; 0 only if there are none.
+    /// Jobs whose other tasks wait for their record to allow more first starts would otherwise
+    /// be looked at on every machine in every pass, and others stopped for what can't start.
+    pub(crate) fn startable(&mut self, untouched: bool) -> u32 {
+        let next = if untouched { &mut self.untouched } else { &mut self.next };
+        Self::skip(next, &self.record, &self.finished, &self.active);
+        let next = *next;
+        self.announce(next);
+        let mut count = self.record.spec.tasks.min(self.record.begun).saturating_sub(next);
+        if !untouched {
+            let (finished, active) = (&self.finished, &self.active);
+            self.retry.retain(|n| !finished.contains(*n) && !active.contains_key(n));
+            count += u32::try_from(self.retry.len()).unwrap_or(u32::MAX);
+        }
+        count.min(self.waiting())
     }
 
     /// Has the record allow more first starts before they run out: that takes a write, and while
@@ -192,11 +221,6 @@
         self.unannounced |= begun < self.spec().tasks && next >= begun - begun / 4;
     }
 
-    /// Whether some of its tasks cannot have been started by an earlier owner.
-    pub(crate) fn has_untouched(&self) -> bool {
-        self.untouched < self.spec().tasks
-    }
-
     pub(crate) fn place(&mut self, index: u32, machine: &str, attempt: u64) {
         self.active.insert(index, Placed { machine: machine.to_owned(), attempt });
     }
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -392,10 +392,6 @@
             && spec.zone.as_ref().is_none_or(|zone| *zone == self.zone)
     }
 
-    pub(crate) fn has_image(&self, image: &str) -> bool {
-        self.images.iter().any(|(name, _)| name == image)
-    }
-
     /// Notes an image as the most recently used; older ones fall out of the cache.
     pub(crate) fn touch_image(&mut self, image: &str, gb: f64) {
         self.images.retain(|(name, _)| name != image);
@@ -441,6 +437,15 @@
         Need { cpus: self.cpus * count, gpus: self.gpus * count, memory_gb: self.memory_gb * count }
     }
 
+    /// The less of each.
+    pub(crate) fn least(&self, other: &Need) -> Need {
+        Need {
+            cpus: self.cpus.min(other.cpus),
+            gpus: self.gpus.min(other.gpus),
+            memory_gb: self.memory_gb.min(other.memory_gb),
+        }
+    }
+
     pub(crate) fn holds(&self, need: &Need) -> bool {
         need.cpus <= self.cpus + EPSILON
             && need.gpus <= self.gpus + EPSILON
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::index;
 use std::cmp::Ordering;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 /// A task expected to end sooner than this is not stopped for another.
@@ -20,6 +20,8 @@
 /// overload the largest, the latest and idle ones would otherwise wait for its end. Once
 /// something of it has begun it stands in line as before.
 const STARVED_AFTER: Duration = Duration::from_secs(120);
+/// Machines looked at for work to stop in one pass, in samples.
+const LOOKS: usize = 8;
 /// The part of an aim's time that passes before work is stopped for a job that waits.
 const PATIENCE: f64 = 0.55;
 
@@ -28,6 +30,7 @@
     name: String,
     free: Need,
     zone: String,
+    spot: bool,
     /// Failed its last task: gets one at a time until one completes.
     probing: bool,
     /// Kept for work of higher priority, whether it is free yet or not.
@@ -42,6 +45,31 @@
         left.take(&self.reserved);
         left.holds(need)
     }
+
+    /// The room there would be without what has a lower priority, beyond what is reserved.
+    fn above(&self, priority: Priority) -> Need {
+        let mut may = self.free;
+        for lower in &self.by_priority[priority as usize + 1..] {
+            may.add(lower);
+        }
+        may.take(&self.reserved);
+        may
+    }
+}
+
+/// The rooms of one pass. Looking at each of them for each waiting job is what a pass costs, so
+/// those that no waiting task fits into any more are left out.
+#[derive(Default)]
+struct Rooms {
+    all: Vec<Room>,
+    /// Those into which the least that waits may fit, now or once lower priorities are gone.
+    open: Vec<usize>,
+    keepable: Vec<usize>,
+    /// The least that a waiting task takes, and the highest priority of one.
+    least: Need,
+    top: Option<Priority>,
+    /// Which of them hold an image that a waiting task needs.
+    holding: HashMap<String, Vec<usize>>,
 }
 
 struct Rank {
@@ -93,14 +121,18 @@
         }
     }
 
-    /// Jobs with waiting tasks that may be started now, in order.
-    fn queue(&self, usage: &[Usage], now: Instant) -> Vec<JobId> {
-        let waiting = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.may_start() && job.waiting() > 0 && self.placeable(job));
-        let mut ranked: Vec<(Rank, JobId)> =
-            waiting.map(|(id, job)| (self.rank(job, usage, now), id.clone())).collect();
+    /// Jobs with tasks that may be started now, and how many at the most, in order (S7: while
+    /// machines have not shown what they hold, only tasks that no earlier owner can have started).
+    fn queue(&mut self, usage: &[Usage], now: Instant) -> Vec<(JobId, u32)> {
+        let fencing = !self.is_complete();
+        let startable = self.jobs.iter_mut().filter(|(_, job)| job.may_start()).map(|(id, job)| {
+            let count = if job.waiting() > 0 { job.startable(fencing) } else { 0 };
+            (id.clone(), count)
+        });
+        let startable: Vec<(JobId, u32)> = startable.filter(|(_, count)| *count > 0).collect();
+        let ranked =
+            startable.into_iter().map(|job| (self.rank(&self.jobs[&job.0], usage, now), job));
+        let mut ranked: Vec<(Rank, (JobId, u32))> = ranked.collect();
         ranked.sort_by(|(a, _), (b, _)| {
             b.urgent
                 .cmp(&a.urgent)
@@ -116,7 +148,7 @@
                 .then(a.work_s.partial_cmp(&b.work_s).unwrap_or(Ordering::Equal))
                 .then(a.accepted.cmp(&b.accepted))
         });
-        ranked.into_iter().map(|(_, id)| id).collect()
+        ranked.into_iter().map(|(_, job)| job).collect()
     }
 
     /// The most that tasks not known yet can use (S8): all of each machine that has not shown
@@ -137,48 +169,77 @@
     /// Assigns waiting tasks to machines with room.
     pub fn plan(&mut self, now: Instant) {
         self.passes += 1;
-        let silence = self.config.silence();
-        let mut rooms: Vec<Room> = Vec::new();
-        for machine in self.machines.values() {
-            if !machine.takes_work(now, silence) || machine.is_slow() {
-                continue;
-            }
-            let probing = machine.failures > 0;
-            match machine.free() {
-                Some(free) if !probing || machine.is_empty() => {
-                    let (name, zone) = (machine.name.clone(), machine.zone.clone());
-                    let reserved = Need::default();
-                    let by_priority = machine.held.totals().by_priority;
-                    rooms.push(Room { name, free, zone, probing, reserved, by_priority });
-                }
-                _ => {}
-            }
-        }
-        if rooms.is_empty() && self.jobs.is_empty() {
+        if self.jobs.is_empty() {
             return;
         }
         let mut usage = self.usage();
+        let queue = self.queue(&usage, now);
+        if queue.is_empty() {
+            return;
+        }
+        let mut rooms = self.rooms(&queue, now);
         let hidden = self.hidden_usage();
         // First what comes before the rest because it is within a guarantee, and no more of it
         // than that; then what is left, in the order that results.
-        for within in [true, false] {
-            for id in self.queue(&usage, now) {
-                self.place_job(&id, within, &mut rooms, &mut usage, hidden, now);
-                if within {
-                    self.reserve(&id, &mut rooms);
-                }
+        for (id, _) in queue {
+            self.place_job(&id, true, &mut rooms, &mut usage, hidden, now);
+            self.reserve(&id, &mut rooms);
+        }
+        for (id, _) in self.queue(&usage, now) {
+            if rooms.open.is_empty() {
+                break;
             }
+            self.place_job(&id, false, &mut rooms, &mut usage, hidden, now);
         }
         self.preempt(&mut usage, now);
     }
 
+    /// What there is room in for the jobs that wait.
+    fn rooms(&mut self, queue: &[(JobId, u32)], now: Instant) -> Rooms {
+        let silence = self.config.silence();
+        let least = Need { cpus: f64::MAX, gpus: f64::MAX, memory_gb: f64::MAX };
+        let mut rooms = Rooms { least, ..Rooms::default() };
+        for (id, _) in queue {
+            let spec = self.jobs[id].spec();
+            rooms.least = rooms.least.least(&Need::of(spec));
+            rooms.top = Some(rooms.top.map_or(spec.priority, |top| top.min(spec.priority)));
+            if !rooms.holding.contains_key(&spec.image) {
+                rooms.holding.insert(spec.image.clone(), Vec::new());
+            }
+        }
+        for machine in self.machines.values() {
+            self.steps.set(self.steps.get() + 1);
+            if !machine.takes_work(now, silence) || machine.is_slow() {
+                continue;
+            }
+            let probing = machine.failures > 0;
+            let Some(free) = machine.free().filter(|_| !probing || machine.is_empty()) else {
+                continue;
+            };
+            let n = rooms.all.len();
+            let (name, zone) = (machine.name.clone(), machine.zone.clone());
+            let reserved = Need::default();
+            let by_priority = machine.held.totals().by_priority;
+            let spot = machine.spot;
+            rooms.all.push(Room { name, free, zone, spot, probing, reserved, by_priority });
+            rooms.open.push(n);
+            rooms.keepable.push(n);
+            for (image, _) in &machine.images {
+                if let Some(holding) = rooms.holding.get_mut(image) {
+                    holding.push(n);
+                }
+            }
+        }
+        rooms
+    }
+
     /// Places waiting tasks of a job. With `within`, a job that is not urgent gets only what
     /// its team's guarantee still holds.
     fn place_job(
         &mut self,
         id: &JobId,
         within: bool,
-        rooms: &mut [Room],
+        rooms: &mut Rooms,
         usage: &mut [Usage],
         hidden: Option<Usage>,
         now: Instant,
@@ -196,23 +257,42 @@
             None => Usage::default(),
         };
         let capped = within && job.record.spec.priority > Priority::High;
-        let image = job.record.spec.image.as_str();
-        // Whether they hold the image is looked up once: a job may place thousands of tasks.
-        let mut holding: Vec<usize> = Vec::new();
+        let allowed = |next: Usage| {
+            within_limit(team, next.plus(hidden)) && (!capped || within_guarantee(team, next))
+        };
+        if !allowed(usage[job.team].plus(one)) {
+            return;
+        }
+        let Rooms { all: rooms, open, least, holding: by_image, .. } = rooms;
+        let spec = &job.record.spec;
+        // Which hold the image is looked up once: a job may place thousands of tasks.
         let mut others: Vec<usize> = Vec::new();
-        for (n, room) in rooms.iter().enumerate() {
-            if !room.fits(&need) {
-                continue;
+        let looked_at = open.len() as u64;
+        open.retain(|n| {
+            let room = &rooms[*n];
+            if !room.fits(least) {
+                return false;
             }
-            let machine = &self.machines[&room.name];
-            if machine.allows(&job.record.spec) && !job.failed_on.contains(&room.name) {
-                let list = if machine.has_image(image) { &mut holding } else { &mut others };
-                list.push(n);
+            let suits = room.fits(&need)
+                && (spec.spot || !room.spot)
+                && spec.zone.as_ref().is_none_or(|zone| *zone == room.zone)
+                && (spec.types.is_none() || self.machines[&room.name].allows(spec))
+                && !job.failed_on.contains(&room.name);
+            if suits {
+                others.push(*n);
             }
-        }
-        if holding.is_empty() && others.is_empty() {
+            true
+        });
+        self.steps.set(self.steps.get() + looked_at);
+        if others.is_empty() {
             return;
         }
+        let mut holding: Vec<usize> = Vec::new();
+        let with_image = by_image.entry(spec.image.clone()).or_default();
+        if !with_image.is_empty() {
+            (holding, others) =
+                others.into_iter().partition(|n| with_image.binary_search(n).is_ok());
+        }
         let mut zones: BTreeMap<String, u32> = BTreeMap::new();
         if job.record.spec.one_zone || job.record.spec.spread {
             for placed in job.active().values() {
@@ -228,8 +308,7 @@
         let cap = job.record.spec.zone_cap();
         let mut recheck = true;
         loop {
-            let next = usage[job.team].plus(one);
-            if !within_limit(team, next.plus(hidden)) || (capped && !within_guarantee(team, next)) {
+            if !allowed(usage[job.team].plus(one)) {
                 return;
             }
             if recheck {
@@ -255,6 +334,9 @@
             if holding.is_empty() {
                 others.swap_remove(at);
                 holding.push(n);
+                if let Err(at) = with_image.binary_search(&n) {
+                    with_image.insert(at, n);
+                }
             }
             let room = &mut rooms[n];
             let Some(machine) = self.machines.get_mut(&room.name) else {
@@ -290,34 +372,38 @@
 
     /// Keeps room for the waiting tasks of an urgent job, on machines where it will come free
     /// by itself: otherwise smaller tasks of less important jobs would fill each gap first.
-    fn reserve(&self, id: &JobId, rooms: &mut [Room]) {
+    fn reserve(&self, id: &JobId, rooms: &mut Rooms) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec();
         if spec.priority > Priority::High || spec.cpus <= 0.0 {
             return;
         }
         let mut left = job.waiting();
+        if left == 0 {
+            return;
+        }
         let need = Need::of(spec);
+        let Rooms { all: rooms, keepable, least, top, .. } = rooms;
+        let top = top.unwrap_or(spec.priority);
+        self.steps.set(self.steps.get() + keepable.len() as u64);
         let mut slots: Vec<(u32, f64, usize)> = Vec::new();
-        for (n, room) in rooms.iter().enumerate() {
-            let machine = &self.machines[&room.name];
-            if !machine.allows(spec) || room.probing {
-                continue;
+        keepable.retain(|n| {
+            let room = &rooms[*n];
+            if room.probing || !room.above(top).holds(least) {
+                return false;
             }
-            let mut may = room.free;
-            for lower in &room.by_priority[spec.priority as usize + 1..] {
-                may.add(lower);
-            }
-            let cpus = (may.cpus - room.reserved.cpus) / need.cpus;
+            let may = room.above(spec.priority);
+            let cpus = may.cpus / need.cpus;
             let memory = match need.memory_gb > 0.0 {
-                true => (may.memory_gb - room.reserved.memory_gb) / need.memory_gb,
+                true => may.memory_gb / need.memory_gb,
                 false => cpus,
             };
             let count = cpus.min(memory).floor();
-            if count >= 1.0 {
-                slots.push((count as u32, room.free.cpus, n));
+            if count >= 1.0 && (spec.spot || !room.spot) && self.machines[&room.name].allows(spec) {
+                slots.push((count as u32, room.free.cpus, *n));
             }
-        }
+            true
+        });
         slots.sort_by(|a, b| b.1.partial_cmp(&a.1).unwrap_or(Ordering::Equal));
         for (count, _, n) in slots {
             let count = count.min(left);
@@ -365,7 +451,11 @@
             .collect();
         // Where most is free least has to be stopped.
         working.sort_by(|a, b| b.0.partial_cmp(&a.0).unwrap_or(Ordering::Equal));
-        for id in queue {
+        let mut looks = self.config.placement_sample.max(1) * LOOKS;
+        for (id, startable) in queue {
+            if looks == 0 {
+                break;
+            }
             let Some(job) = self.jobs.get(&id) else { continue };
             let one = Usage::of(job.spec(), 1);
             let guaranteed =
@@ -373,9 +463,9 @@
             if now.saturating_duration_since(job.accepted_at) < self.patience(job, guaranteed) {
                 continue;
             }
-            let covered = (coming / one.cpus.max(0.01)).floor().min(f64::from(job.waiting()));
+            let covered = (coming / one.cpus.max(0.01)).floor().min(f64::from(startable));
             coming -= covered * one.cpus;
-            let mut wanted = job.waiting() - covered as u32;
+            let mut wanted = startable - covered as u32;
             if wanted == 0 {
                 continue;
             }
@@ -384,14 +474,26 @@
             let owed = guaranteed
                 && (0..usage.len())
                     .any(|team| team != job.team && self.beyond_guarantee(team, usage));
-            for (_, name, by_priority) in &working {
+            let may = |n: &usize| owed || working[*n].2[above..].iter().any(|cpus| *cpus > 0.0);
+            let mut candidates: Vec<usize> = (0..working.len()).filter(may).collect();
+            // A look at all that run there costs too much to be taken at hundreds of machines for
+            // hundreds of jobs: a sample each, another one in the next pass.
+            let most = self.config.placement_sample.max(wanted as usize * 2).min(looks);
+            if candidates.len() > most {
+                let sample = index::sample(&mut self.rng, candidates.len(), most);
+                let mut sample: Vec<usize> = sample.into_iter().map(|at| candidates[at]).collect();
+                sample.sort_unstable();
+                candidates = sample;
+            }
+            for n in candidates {
                 if wanted == 0 {
                     break;
                 }
-                if owed || by_priority[above..].iter().any(|cpus| *cpus > 0.0) {
-                    let victims = self.victims(&id, name, &mut wanted, usage, now);
-                    self.stop_tasks(&id, name, victims);
-                }
+                looks -= 1;
+                let name = &working[n].1;
+                self.steps.set(self.steps.get() + self.machines[name].held.len() as u64);
+                let victims = self.victims(&id, name, &mut wanted, usage, now);
+                self.stop_tasks(&id, name, victims);
             }
         }
     }
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -13,6 +13,7 @@
 use corkfield_wire::{JobId, TaskId, TaskSet};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -94,6 +95,8 @@
     pub unfenced: usize,
     /// Planning passes since the planner took over.
     pub passes: u64,
+    /// Machines and tasks that these looked at.
+    pub steps: u64,
 }
 
 pub struct Planner {
@@ -117,6 +120,8 @@
     pub(crate) corrections: HashMap<String, (u32, f64)>,
     last_delete: Option<Instant>,
     pub(crate) passes: u64,
+    /// Rooms and tasks looked at in planning passes.
+    pub(crate) steps: Cell<u64>,
 }
 
 impl Planner {
@@ -138,6 +143,7 @@
             corrections: HashMap::new(),
             last_delete: None,
             passes: 0,
+            steps: Cell::new(0),
         }
     }
 
@@ -1073,12 +1079,6 @@
         usage
     }
 
-    /// S7: while machines have not shown what they hold, only tasks that no earlier owner can
-    /// have started.
-    pub(crate) fn placeable(&self, job: &Job) -> bool {
-        self.unfenced.is_empty() || job.has_untouched()
-    }
-
     pub(crate) fn is_unfenced(&self, machine: &str) -> bool {
         self.unfenced.contains(machine)
     }
@@ -1087,6 +1087,7 @@
         let mut view = Overview { jobs: self.jobs.len(), ..Overview::default() };
         view.unfenced = self.unfenced.len();
         view.passes = self.passes;
+        view.steps = self.steps.get();
         for (id, job) in &self.jobs {
             view.waiting_tasks += u64::from(job.waiting());
             view.running_tasks += u64::from(job.running);
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -592,3 +592,75 @@
     assert!(planner.job(&id()).expect("claimed").active().is_empty());
     assert_eq!(planner.on_report(&report(9, 1, Vec::new()), true, later), Verdict::Stale);
 }
+
+/// A fleet that is up, with its planner.
+fn fleet(machines: usize, now: Instant) -> Planner {
+    let mut planner = planner(1);
+    for n in 0..machines {
+        let name = format!("host-{n}");
+        planner.on_report(&Report { machine: name.clone(), ..report(1, 1, Vec::new()) }, true, now);
+        planner.machine_recorded(&name, true);
+    }
+    planner
+}
+
+fn claim(planner: &mut Planner, number: usize, priority: Priority, begun: u32, now: Instant) {
+    let mut record = JobRecord { begun, ..record(400, 1) };
+    record.spec.id = JobId::parse(&format!("j-{number:06}")).expect("an id");
+    record.spec.priority = priority;
+    record.spec.estimate_s = 300.0;
+    planner.claimed(record, TaskSet::default(), 5, Duration::ZERO, now);
+}
+
+#[test]
+fn jobs_that_may_not_start_more_yet_cost_no_looks_and_stop_nobody() {
+    let start = Instant::now();
+    let mut planner = fleet(40, start);
+    // All that runs may be stopped for the urgent jobs, which have begun what they may begin.
+    claim(&mut planner, 1, Priority::Low, 160, start);
+    planner.plan(start);
+    for number in 2..30 {
+        claim(&mut planner, number, Priority::High, 0, start);
+    }
+    planner.take_actions();
+    let before = planner.overview(start);
+    assert_eq!(planner.job(&id()).expect("claimed").active().len(), 160);
+    let later = start + Duration::from_secs(60);
+    for n in 0..40 {
+        let name = format!("host-{n}");
+        let again = Report { machine: name.clone(), ..report(2, 1, Vec::new()) };
+        planner.on_report(&again, true, later);
+        planner.orders(&name, 1, 2, true, later);
+    }
+    planner.plan(later);
+    let stops = planner.take_actions();
+    assert!(stops.iter().all(|a| !matches!(a, Action::Direct { .. })), "{stops:?}");
+    assert_eq!(planner.overview(later).steps, before.steps, "no machine was looked at for them");
+}
+
+/// Counts, so that it holds on any machine: with four times the machines and four times the jobs
+/// that wait for them, a pass may look at some four times as much, not at sixteen times.
+#[test]
+fn the_work_of_a_pass_grows_no_faster_than_the_fleet() {
+    let start = Instant::now();
+    let steps = |machines: usize| {
+        let mut planner = fleet(machines, start);
+        for number in 0..machines / 4 {
+            let priority = [Priority::Low, Priority::Normal, Priority::High][number % 3];
+            claim(&mut planner, number, priority, 400, start);
+        }
+        planner.plan(start);
+        let before = planner.overview(start);
+        let later = start + Duration::from_secs(1);
+        for _ in 0..10 {
+            planner.plan(later);
+        }
+        let after = planner.overview(later);
+        assert!(after.waiting_tasks > 0, "there is more work than room");
+        (after.steps - before.steps) / (after.passes - before.passes)
+    };
+    let (few, many) = (steps(400), steps(1600));
+    assert!(many <= few * 6, "{few} steps a pass, then {many}");
+    // Some looks at each machine, for hundreds of jobs that wait.
+    assert!(many <= 1600 * 8, "{many} steps a pass");
+}
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -37,6 +37,8 @@
 /// A pass looks at every machine: there is this much time between two for each of them.
 const PASS_PACE: Duration = Duration::from_micros(250);
 const PASS_PACE_MOST: Duration = Duration::from_millis(120);
+/// And this many times as long as the last one took: leases, reports and users come between.
+const PASS_REST: u32 = 3;
 /// No report waits longer than this for a pass.
 const PASS_WAIT: Duration = Duration::from_millis(1000);
 
@@ -683,16 +685,18 @@
     async fn passes(&self) {
         loop {
             self.node.leader.wanted.notified().await;
+            let begun = now();
             let machines = {
                 let mut planner = self.planner.borrow_mut();
-                planner.plan(now());
+                planner.plan(begun);
                 planner.machine_count()
             };
+            let took = now().saturating_duration_since(begun);
             self.node.leader.planned.notify_waiters();
             self.node.leader.actions.notify_one();
             self.node.leader.settle.notify_one();
             let pace = PASS_PACE * u32::try_from(machines).unwrap_or(u32::MAX);
-            tokio::time::sleep(pace.min(PASS_PACE_MOST)).await;
+            tokio::time::sleep(pace.min(PASS_PACE_MOST).max(took * PASS_REST)).await;
         }
     }
 
@@ -882,6 +886,7 @@
             "term": planner.borrow().term(),
             "jobs": view.jobs,
             "passes": view.passes,
+            "steps": view.steps,
             "waiting_tasks": view.waiting_tasks,
             "running_tasks": view.running_tasks,
             "oldest_waiting": oldest.map(|(id, _)| id.as_str()),
