Settling shares transactions and runs side by side, each job in its turn

Cause: jobs were stored one after another, the first by id first. Ruled out: limits of teams, room, the cloud. Now: what somebody waits for (ends, announcements) first, then whoever has waited longest; mere progress at most every 0.7 s a job; up to six transactions side by side, each with as many jobs as fit; of a refused one only the records named are read again. Machine records that are written or dropped together share transactions too, and dropping them survives a raised term of our own.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -6,6 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+/// A claim held this long without a failure is refunded.
+const HEALTHY: Duration = Duration::from_secs(10);
+/// Between two writes of a job for which nobody waits.
+const PROGRESS_PAUSE: Duration = Duration::from_millis(700);
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobState {
     /// Its tasks may be started.
@@ -42,6 +47,8 @@
     unstored: BTreeSet<u32>,
     /// A settling write is under way.
     pub(crate) settling: bool,
+    /// When the newest one was begun.
+    pub(crate) settled_at: Option<Instant>,
     /// Placed tasks and their machines.
     active: BTreeMap<u32, Placed>,
     retry: Vec<u32>,
@@ -84,6 +91,7 @@
             finished,
             unstored: BTreeSet::new(),
             settling: false,
+            settled_at: None,
             active: BTreeMap::new(),
             retry: Vec::new(),
             next: 0,
@@ -255,6 +263,30 @@
         news
     }
 
+    /// Whether something of it is to be stored, and whether somebody waits for that: its user, or
+    /// tasks that may start only once the record says so. Mere progress is stored less often.
+    pub(crate) fn settling_due(&self, now: Instant) -> Option<bool> {
+        if self.settling || !self.is_live() {
+            return None;
+        }
+        let display = (self.running > 0) != (self.record.running > 0);
+        let finished = !self.unstored.is_empty() && self.finished.len() >= self.spec().tasks;
+        if self.unannounced || display || finished {
+            return Some(true);
+        }
+        let recently = |at| now.saturating_duration_since(at) < PROGRESS_PAUSE;
+        let progress = !self.unstored.is_empty() || self.is_refunded_now(now);
+        (progress && !self.settled_at.is_some_and(recently)).then_some(false)
+    }
+
+    /// A claim that harmed nobody for a while didn't end because of the job (S12).
+    pub(crate) fn is_refunded_now(&self, now: Instant) -> bool {
+        self.record.claims > 0
+            && !self.refunded
+            && self.failures == 0
+            && now.saturating_duration_since(self.claimed_at) > HEALTHY
+    }
+
     pub(crate) fn unstored(&self) -> &BTreeSet<u32> {
         &self.unstored
     }
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -26,8 +26,6 @@
 /// A decision that no report came to fetch is taken back after this time.
 const ASSIGNED_KEEP: Duration = Duration::from_secs(5);
 const RETRY: Duration = Duration::from_secs(3);
-/// A claim held this long without a failure is refunded.
-const HEALTHY: Duration = Duration::from_secs(10);
 
 /// After a take-over machines have a report interval and this long to show what they hold.
 const FENCE_PATIENCE: Duration = Duration::from_secs(2);
@@ -411,72 +409,64 @@
         }
     }
 
-    /// Settling writes that are due. Each has to be answered with [`Self::settled`] or
-    /// [`Self::settling_failed`].
+    /// Settling writes that are due, those first for which somebody waits, then those that have
+    /// waited longest: in the order of their ids, the last of hundreds would never have their
+    /// turn. Each has to be answered with [`Self::settled`] or [`Self::settling_failed`].
     pub fn settlements(&mut self, most: usize, now: Instant) -> Vec<Settlement> {
-        let mut due = Vec::new();
-        for job in self.jobs.values_mut() {
-            if due.len() >= most {
-                break;
-            }
-            if job.settling || !job.is_live() {
-                continue;
-            }
-            let display = (job.running > 0) != (job.record.running > 0);
-            // A claim that harmed nobody for a while didn't end because of the job (S12).
-            let refund = job.record.claims > 0
-                && !job.refunded
-                && job.failures == 0
-                && now.saturating_duration_since(job.claimed_at) > HEALTHY;
-            let more = std::mem::take(&mut job.unannounced);
-            if job.unstored().is_empty() && !display && !refund && !more {
-                continue;
-            }
-            let mut record = job.record.clone();
-            let mut chunks: BTreeMap<u32, TaskSet> = BTreeMap::new();
-            let mut tasks = Vec::new();
-            if record.is_chunked() {
-                // A few chunks at a time stay below the limits of a transaction.
-                for &index in job.unstored() {
-                    let chunk = index / CHUNK_TASKS;
-                    if !chunks.contains_key(&chunk) {
-                        if chunks.len() >= MAX_CHUNKS {
-                            break;
-                        }
-                        chunks.insert(chunk, job.chunk(chunk));
+        let due = self.jobs.values_mut().filter_map(|job| {
+            let waited_for = job.settling_due(now)?;
+            Some((!waited_for, job.settled_at, job))
+        });
+        let mut due: Vec<(bool, Option<Instant>, &mut Job)> = due.collect();
+        due.sort_by_key(|(later, at, _)| (*later, *at));
+        due.truncate(most);
+        due.into_iter().map(|(_, _, job)| Self::settlement(job, now)).collect()
+    }
+
+    fn settlement(job: &mut Job, now: Instant) -> Settlement {
+        let mut record = job.record.clone();
+        let mut chunks: BTreeMap<u32, TaskSet> = BTreeMap::new();
+        let mut tasks = Vec::new();
+        if record.is_chunked() {
+            // A few chunks at a time stay below the limits of a transaction.
+            for &index in job.unstored() {
+                let chunk = index / CHUNK_TASKS;
+                if !chunks.contains_key(&chunk) {
+                    if chunks.len() >= MAX_CHUNKS {
+                        break;
                     }
-                    tasks.push(index);
+                    chunks.insert(chunk, job.chunk(chunk));
                 }
-                record.done = record.done.saturating_add(u32::try_from(tasks.len()).unwrap_or(0));
-            } else {
-                tasks.extend(job.unstored());
-                record.finished = job.finished().clone();
-                record.done = record.finished.len();
+                tasks.push(index);
             }
-            record.running = job.running;
-            if more {
-                record.begin_more();
-            }
-            if refund {
-                job.refunded = true;
-                record.claims -= 1;
-            }
-            if !tasks.is_empty() {
-                // Progress resets the count of claims (S12).
-                record.claims = 0;
-            }
-            let finishes = record.done >= record.spec.tasks;
-            job.settling = true;
-            due.push(Settlement {
-                job: record.spec.id.clone(),
-                version: job.version,
-                record,
-                chunks: chunks.into_iter().collect(),
-                tasks,
-                finishes,
-            });
+            record.done = record.done.saturating_add(u32::try_from(tasks.len()).unwrap_or(0));
+        } else {
+            tasks.extend(job.unstored());
+            record.finished = job.finished().clone();
+            record.done = record.finished.len();
+        }
+        record.running = job.running;
+        if std::mem::take(&mut job.unannounced) {
+            record.begin_more();
+        }
+        if job.is_refunded_now(now) {
+            job.refunded = true;
+            record.claims -= 1;
+        }
+        if !tasks.is_empty() {
+            // Progress resets the count of claims (S12).
+            record.claims = 0;
+        }
+        job.settling = true;
+        job.settled_at = Some(now);
+        Settlement {
+            job: record.spec.id.clone(),
+            version: job.version,
+            finishes: record.done >= record.spec.tasks,
+            record,
+            chunks: chunks.into_iter().collect(),
+            tasks,
         }
-        due
     }
 
     pub fn settled(&mut self, settlement: &Settlement, version: u64) {
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -3,19 +3,19 @@
 
 use crate::node::{json, now, wall_ms, Node};
 use crate::presence::Current;
+use crate::settling::{self, finished_chunks};
 use corkfield_cloud::CloudError;
-use corkfield_core::{Action, Planner, Settlement, Verdict};
+use corkfield_core::{Action, Planner, Verdict};
 use corkfield_http::{Client, Response};
 use corkfield_state::{StateError, Use};
 use corkfield_wire::cloud::{MachineType, RentRequest};
 use corkfield_wire::records::{
-    controller_key, final_key, finished_key, finished_prefix, job_key, knock_key, machine_key,
-    FinalRecord, JobRecord, Knock, MachineRecord, PlannerRecord, TypesRecord, MACHINES, PLANNER,
-    TYPES,
+    controller_key, job_key, knock_key, machine_key, JobRecord, Knock, MachineRecord,
+    PlannerRecord, TypesRecord, MACHINES, PLANNER, TYPES,
 };
 use corkfield_wire::store::Txn;
 use corkfield_wire::worker::{DirectOrders, Order, Report, PATH_COMMANDS};
-use corkfield_wire::{JobId, JobStatus, TaskSet};
+use corkfield_wire::JobId;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
@@ -50,7 +50,7 @@
     planner: RefCell<Option<Shared>>,
     ready: Notify,
     actions: Notify,
-    settle: Notify,
+    pub(crate) settle: Notify,
     /// Something changed that a planning pass should see.
     wanted: Notify,
     /// A planning pass has ended.
@@ -253,7 +253,7 @@
     planner: Shared,
     me: Current,
     /// Version of the planner record that this claim rests on.
-    version: Cell<u64>,
+    version: Rc<Cell<u64>>,
     claimed: Notify,
 }
 
@@ -264,7 +264,7 @@
         node,
         planner: Rc::new(RefCell::new(planner)),
         me: me.clone(),
-        version: Cell::new(version),
+        version: Rc::new(Cell::new(version)),
         claimed: Notify::new(),
     };
     let types = node.follower.cache.borrow().types.clone();
@@ -311,7 +311,7 @@
         self.node.leader.begin(self.planner.clone());
         tokio::join!(
             self.claims(),
-            self.settling(),
+            settling::run(self.node, &self.planner),
             self.acting(),
             self.ticking(),
             self.passes(),
@@ -464,7 +464,7 @@
         };
         for record in claimed {
             let finished = match record.is_chunked() {
-                true => self.finished_chunks(&record.spec.id).await,
+                true => finished_chunks(self.node, &record.spec.id).await,
                 false => record.finished.clone(),
             };
             let age = Duration::from_millis(wall_ms().saturating_sub(record.accepted_ms));
@@ -484,109 +484,6 @@
             .then_some(item.version)
     }
 
-    async fn finished_chunks(&self, id: &JobId) -> TaskSet {
-        loop {
-            match self.node.state.list(Use::Claim, &finished_prefix(id)).await {
-                Ok((items, _)) => {
-                    let mut all = TaskSet::default();
-                    for item in items {
-                        if let Ok(set) = serde_json::from_value::<TaskSet>(item.value) {
-                            all.extend(&set);
-                        }
-                    }
-                    return all;
-                }
-                Err(_) => tokio::time::sleep(Duration::from_millis(200)).await,
-            }
-        }
-    }
-
-    async fn settling(&self) {
-        loop {
-            let due = self.planner.borrow_mut().settlements(4, now());
-            if due.is_empty() {
-                let woken = self.node.leader.settle.notified();
-                let _ = tokio::time::timeout(Duration::from_millis(200), woken).await;
-                // What comes in together is stored together.
-                tokio::time::sleep(Duration::from_millis(60)).await;
-                continue;
-            }
-            for settlement in due {
-                self.settle(settlement).await;
-            }
-        }
-    }
-
-    /// Stores finished tasks while the record is still of our claim (S9).
-    async fn settle(&self, settlement: Settlement) {
-        let id = settlement.job.clone();
-        let mut txn = Txn::default().when(job_key(&id), settlement.version);
-        if settlement.finishes {
-            let over = FinalRecord { status: JobStatus::Done, done: settlement.record.done };
-            let value = serde_json::to_value(&over).unwrap_or_default();
-            txn = txn.delete(job_key(&id)).put(final_key(&id), value);
-        } else {
-            let value = serde_json::to_value(&settlement.record).unwrap_or_default();
-            txn = txn.put(job_key(&id), value);
-            for (chunk, set) in &settlement.chunks {
-                let value = serde_json::to_value(set).unwrap_or_default();
-                txn = txn.put(finished_key(&id, *chunk), value);
-            }
-        }
-        match self.node.state.txn(Use::Settling, &txn).await {
-            Ok(version) => {
-                self.planner.borrow_mut().settled(&settlement, version);
-                self.node.leader.want_pass();
-                if settlement.finishes && settlement.record.is_chunked() {
-                    self.drop_chunks(&settlement.record).await;
-                }
-            }
-            Err(error @ (StateError::Conflict(_) | StateError::NoAnswer(_))) => {
-                tracing::debug!(job = %id, %error, "settling write not taken");
-                let found = self.find_own(&id, &settlement.record).await;
-                self.planner.borrow_mut().settling_failed(&id, found);
-            }
-            Err(error) => {
-                tracing::debug!(job = %id, %error, "settling write failed");
-                self.planner.borrow_mut().settling_failed(&id, None);
-                tokio::time::sleep(Duration::from_millis(300)).await;
-            }
-        }
-    }
-
-    /// The record as the store has it, if it is still of our claim.
-    async fn find_own(&self, id: &JobId, ours: &JobRecord) -> Option<(JobRecord, TaskSet, u64)> {
-        let Ok(read) = self.node.state.get(Use::Settling, &job_key(id)).await else {
-            return None;
-        };
-        let Some(item) = read else {
-            // Cancelled, or a final write of ours that was carried out after all.
-            self.planner.borrow_mut().close_job(id);
-            return None;
-        };
-        let found: JobRecord = serde_json::from_value(item.value).ok()?;
-        if found.generation != ours.generation {
-            tracing::warn!(job = %id, "a settling write met a newer generation; job dropped");
-            self.planner.borrow_mut().close_job(id);
-            return None;
-        }
-        let finished = match found.is_chunked() {
-            true => self.finished_chunks(id).await,
-            false => found.finished.clone(),
-        };
-        Some((found, finished, item.version))
-    }
-
-    async fn drop_chunks(&self, record: &JobRecord) {
-        let chunks = record.spec.tasks.div_ceil(corkfield_wire::records::CHUNK_TASKS);
-        let keys: Vec<String> =
-            (0..chunks).map(|chunk| finished_key(&record.spec.id, chunk)).collect();
-        for part in keys.chunks(4) {
-            let txn = part.iter().fold(Txn::default(), |txn, key| txn.delete(key.clone()));
-            let _ = self.node.state.txn(Use::Housekeeping, &txn).await;
-        }
-    }
-
     async fn acting(&self) {
         loop {
             let actions = self.planner.borrow_mut().take_actions();
@@ -594,9 +491,19 @@
                 self.node.leader.actions.notified().await;
                 continue;
             }
+            let mut records = Vec::new();
+            let mut erased = Vec::new();
             for action in actions {
-                self.act(action);
+                match action {
+                    Action::Record(name, record) => records.push((name, record)),
+                    Action::Erase(name) => erased.push(name),
+                    action => self.act(action),
+                }
             }
+            // Hundreds of machines come and go together; what is written of them shares requests.
+            let most = self.node.settings.platform.params.state.txn_ops.max(1) as usize;
+            records.chunks(most).for_each(|part| self.record(part.to_vec()));
+            erased.chunks(most).for_each(|part| self.erase(part.to_vec()));
         }
     }
 
@@ -614,34 +521,6 @@
                     direct(&node, &planner, &machine, &addr, session, orders).await;
                 });
             }
-            Action::Record(name, mut record) => {
-                record.recorded_ms = wall_ms();
-                // Conditional on the planner record: a planner that was replaced can't add
-                // machines that its successor doesn't know.
-                let version = self.version.get();
-                tokio::task::spawn_local(async move {
-                    let value = serde_json::to_value(&record).unwrap_or_default();
-                    let txn = Txn::default().when(PLANNER, version).put(machine_key(&name), value);
-                    let stored = node.state.txn(Use::Claim, &txn).await;
-                    planner.borrow_mut().machine_recorded(&name, stored.is_ok());
-                    node.leader.want_pass();
-                });
-            }
-            Action::Erase(name) => {
-                let version = self.version.get();
-                tokio::task::spawn_local(async move {
-                    let txn = Txn::default().when(PLANNER, version).delete(machine_key(&name));
-                    // A record that is left over holds up the next take-over, so this is tried
-                    // until it succeeds or another plans.
-                    while let Err(error) = node.state.txn(Use::Housekeeping, &txn).await {
-                        tracing::debug!(machine = %name, %error, "can't drop a machine's record");
-                        if matches!(error, StateError::Conflict(_)) {
-                            break;
-                        }
-                        node.pause(500..1500).await;
-                    }
-                });
-            }
             Action::Rent(request) => {
                 tokio::task::spawn_local(async move {
                     rent(&node, &planner, &request).await;
@@ -658,7 +537,50 @@
                     }
                 });
             }
+            Action::Record(name, record) => self.record(vec![(name, record)]),
+            Action::Erase(name) => self.erase(vec![name]),
+        }
+    }
+
+    /// Writes machine records, conditional on the planner record: a planner that was replaced
+    /// can't add machines that its successor doesn't know.
+    fn record(&self, machines: Vec<(String, MachineRecord)>) {
+        let (node, planner) = (self.node.clone(), self.planner.clone());
+        let mut txn = Txn::default().when(PLANNER, self.version.get());
+        let recorded_ms = wall_ms();
+        for (name, record) in &machines {
+            let record = MachineRecord { recorded_ms, ..record.clone() };
+            txn = txn.put(machine_key(name), serde_json::to_value(&record).unwrap_or_default());
         }
+        tokio::task::spawn_local(async move {
+            let stored = node.state.txn(Use::Claim, &txn).await;
+            for (name, _) in &machines {
+                planner.borrow_mut().machine_recorded(name, stored.is_ok());
+            }
+            node.leader.want_pass();
+        });
+    }
+
+    fn erase(&self, machines: Vec<String>) {
+        let (node, current) = (self.node.clone(), self.version.clone());
+        tokio::task::spawn_local(async move {
+            // A record that is left over holds up the next take-over, so this is tried until it
+            // succeeds or another plans.
+            loop {
+                let version = current.get();
+                let txn = Txn::default().when(PLANNER, version);
+                let txn = machines.iter().fold(txn, |txn, name| txn.delete(machine_key(name)));
+                let Err(error) = node.state.txn(Use::Housekeeping, &txn).await else {
+                    return;
+                };
+                tracing::debug!(?machines, %error, "can't drop machines' records");
+                // Our own term may have been raised meanwhile, and the record with it.
+                if matches!(error, StateError::Conflict(_)) && version == current.get() {
+                    return;
+                }
+                node.pause(500..1500).await;
+            }
+        });
     }
 
     async fn ticking(&self) {
--- a/crates/corkfield/src/lib.rs
+++ b/crates/corkfield/src/lib.rs
@@ -7,5 +7,6 @@
 mod peers;
 mod presence;
 pub mod settings;
+mod settling;
 mod users;
 mod workers;
--- a/crates/corkfield/tests/doubts/mod.rs
+++ b/crates/corkfield/tests/doubts/mod.rs
@@ -283,3 +283,25 @@
         });
     }
 }
+
+#[test]
+fn many_jobs_are_stored_side_by_side_while_the_store_is_slow() {
+    story(60, |world| async move {
+        world.store.set_faults(|request| match request.path() {
+            PATH_TXN => Fault::Slow(0.9),
+            _ => Fault::None,
+        });
+        // Their first 128 tasks may begin at once; the others wait for a write of each record.
+        let jobs: Vec<_> = (1..=40).map(|n| spec(n, 200)).collect();
+        let begun = tokio::time::Instant::now();
+        for job in &jobs {
+            world.submit(job, 2.0).await;
+        }
+        for job in &jobs {
+            world.until_done(&job.id, 200.0).await;
+        }
+        let seconds = begun.elapsed().as_secs_f64();
+        // 8,000 tasks of 2 s on 480 CPUs, claims of 0.9 s; 90 s with one write after another.
+        assert!(seconds < 75.0, "{seconds} s");
+    });
+}
