Fences go out in groups; direct orders and users' connections keep to shares of the sockets

Users and workers shared one bound, so idle users could keep workers out. Now: 64 fences every 50 ms, each machine again after 1.5 s and never twice at once, those never asked first; 22 % of the sockets for direct orders (what is left out goes with the next answer); 65 % accepted, 25 % of clients that are no workers, who beyond that get 503 with Retry-After at once; a connection without any request is closed after 10 s.

--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -23,6 +23,11 @@
 use tokio::sync::Notify;
 
 const DIRECT_TIMEOUT: Duration = Duration::from_millis(2500);
+/// So many machines are asked what they hold, then there is a pause for what their answers bring.
+const FENCES_AT_ONCE: usize = 64;
+const FENCE_PACE: Duration = Duration::from_millis(50);
+/// A machine that did not answer is asked again after this time.
+const FENCE_AGAIN: Duration = Duration::from_millis(1500);
 /// Other controllers leave the named successor this long to take over.
 const SUCCESSOR_HEAD_START: Duration = Duration::from_secs(2);
 
@@ -60,6 +65,23 @@
     last_report: Cell<Option<Instant>>,
     knocks: Cell<u64>,
     knocking: Cell<bool>,
+    /// Machines to which direct orders are under way, and how many.
+    directs: RefCell<HashMap<String, usize>>,
+}
+
+/// Direct orders under way to one machine.
+struct Directing<'a>(&'a Leader, &'a str);
+
+impl Drop for Directing<'_> {
+    fn drop(&mut self) {
+        let mut directs = self.0.directs.borrow_mut();
+        if let Some(count) = directs.get_mut(self.1) {
+            *count -= 1;
+            if *count == 0 {
+                directs.remove(self.1);
+            }
+        }
+    }
 }
 
 impl Leader {
@@ -117,6 +139,17 @@
         }
     }
 
+    /// Counts direct orders to a machine; `None` if too many are under way: each takes a socket,
+    /// and after a take-over there is one for every machine.
+    fn directing<'a>(&'a self, machine: &'a str, most: usize) -> Option<Directing<'a>> {
+        let mut directs = self.directs.borrow_mut();
+        if directs.values().sum::<usize>() >= most {
+            return None;
+        }
+        *directs.entry(machine.to_owned()).or_default() += 1;
+        Some(Directing(self, machine))
+    }
+
     /// A worker came here although the planner has been known for a while: it may be that the
     /// planner can't be reached. Workers that only look for a new planner are no such sign.
     pub fn knocked(&self, planner_for: Duration) {
@@ -639,21 +672,36 @@
     }
 
     /// Sends every recorded machine an empty order under our term (S7), until it has answered,
-    /// lapsed or is gone.
+    /// lapsed or is gone. Never all at once: each takes a socket, and all answers together would
+    /// hold up the reports that come at the same time.
     async fn fencing(&self) {
+        let mut tried: HashMap<String, Instant> = HashMap::new();
         loop {
-            let targets = self.planner.borrow().fence_targets();
+            let mut targets = self.planner.borrow().fence_targets();
+            let at = now();
+            let under_way: HashSet<String> =
+                self.node.leader.directs.borrow().keys().cloned().collect();
+            targets.retain(|(machine, ..)| {
+                let soon = |before: &Instant| at.saturating_duration_since(*before) < FENCE_AGAIN;
+                !under_way.contains(machine) && !tried.get(machine).is_some_and(soon)
+            });
             if targets.is_empty() {
-                tokio::time::sleep(Duration::from_millis(500)).await;
+                if self.planner.borrow().is_complete() {
+                    tried.clear();
+                }
+                tokio::time::sleep(Duration::from_millis(300)).await;
                 continue;
             }
-            for (machine, addr, session) in targets {
+            // Those that never answered come after those that were never asked.
+            targets.sort_by_key(|(machine, ..)| tried.get(machine).copied());
+            for (machine, addr, session) in targets.into_iter().take(FENCES_AT_ONCE) {
+                tried.insert(machine.clone(), at);
                 let (node, planner) = (self.node.clone(), self.planner.clone());
                 tokio::task::spawn_local(async move {
                     direct(&node, &planner, &machine, &addr, session, Vec::new()).await;
                 });
             }
-            tokio::time::sleep(Duration::from_millis(1500)).await;
+            tokio::time::sleep(FENCE_PACE).await;
         }
     }
 
@@ -728,6 +776,12 @@
     orders: Vec<Order>,
 ) {
     let Ok(addr) = addr.parse() else { return };
+    // What is left out here goes with the answer to the machine's next report, or, if it is a
+    // fence, soon again.
+    let Some(_under_way) = node.leader.directing(machine, node.settings.sockets().directs) else {
+        tracing::debug!(machine, "too many direct orders under way");
+        return;
+    };
     let mut session = session;
     // A machine may be in a later session than we know: its refusal says which.
     for _ in 0..2 {
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -93,8 +93,7 @@
 pub async fn run(settings: Settings, network: Rc<dyn Network>, seed: u64) -> Result<(), RunError> {
     let platform = settings.platform.clone();
     let params = &platform.params;
-    let sockets =
-        if params.limits.max_connections == 0 { 900 } else { params.limits.max_connections };
+    let sockets = settings.sockets();
     let users_listener = listen(&*network, platform.listen).await?;
     let peers_listener = listen(&*network, platform.peer_listen).await?;
     let node = Rc::new(Node {
@@ -120,8 +119,10 @@
         let node = node.clone();
         move |request| handle(node.clone(), request)
     };
-    // Sockets are also needed for the state service, the cloud, machines and peers.
-    let limits = Limits { connections: (sockets as usize * 7 / 10).max(16), ..Limits::default() };
+    let limits = Limits { connections: sockets.accepted, ..Limits::default() };
+    // Users must not take the connections that workers need: a worker without one loses its
+    // lease and all that it runs.
+    let limits = Limits { others: sockets.users, kept_for: PATH_REPORT, ..limits };
     tokio::task::spawn_local(serve(users_listener, limits, Rc::new(handler)));
     tokio::task::spawn_local(peers::listen(node.clone(), peers_listener));
     for peer in &platform.peers {
--- a/crates/corkfield/src/settings.rs
+++ b/crates/corkfield/src/settings.rs
@@ -79,6 +79,17 @@
     Operator { path: PathBuf, error: String },
 }
 
+/// How many connections of each kind may be open at once.
+#[derive(Debug, Clone, Copy)]
+pub struct Sockets {
+    /// Accepted from users and workers.
+    pub accepted: usize,
+    /// Of these, from others than workers.
+    pub users: usize,
+    /// To machines.
+    pub directs: usize,
+}
+
 #[derive(Debug, Clone)]
 pub struct Settings {
     pub platform: Platform,
@@ -116,6 +127,17 @@
         (self.answer_limit() / 4).clamp(Duration::from_millis(100), Duration::from_secs(2))
     }
 
+    /// The parts of the sockets that this process may have open. What is left is for the state
+    /// service, the cloud and the other controllers.
+    pub fn sockets(&self) -> Sockets {
+        let all = match self.platform.params.limits.max_connections {
+            0 => 900,
+            given => given as usize,
+        };
+        let part = |percent: usize| (all * percent / 100).max(8);
+        Sockets { accepted: part(65), users: part(25), directs: part(22) }
+    }
+
     pub fn planner_config(&self) -> Config {
         let params = &self.platform.params;
         Config {
@@ -132,13 +154,17 @@
 
     pub fn summary(&self) -> String {
         let platform = &self.platform;
+        let sockets = self.sockets();
         let operator = serde_json::to_string_pretty(&self.operator).unwrap_or_default();
         format!(
-            "controller {} in zone {}, {} controllers, {} teams\nusers and workers: {}\ncontrollers: {}\nstate service: {}\ncloud: {}\noperators' settings: {operator}\nsettings are valid",
+            "controller {} in zone {}, {} controllers, {} teams\nconnections: {} accepted, {} of them of users, {} to machines\nusers and workers: {}\ncontrollers: {}\nstate service: {}\ncloud: {}\noperators' settings: {operator}\nsettings are valid",
             platform.node,
             platform.zone,
             platform.params.size,
             platform.params.teams.len(),
+            sockets.accepted,
+            sockets.users,
+            sockets.directs,
             platform.listen,
             platform.peer_listen,
             platform.endpoints.state,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -12,8 +12,14 @@
 #[derive(Debug, Clone)]
 pub struct Limits {
     pub connections: usize,
+    /// So many of them may be of clients that ask for other paths than [`Self::kept_for`].
+    pub others: usize,
+    /// The path for whose clients the rest is kept.
+    pub kept_for: &'static str,
     pub body: usize,
-    /// A connection without a request is closed after this time.
+    /// A connection on which nothing was asked yet is closed after this time.
+    pub first: Duration,
+    /// A connection without a further request is closed after this time.
     pub idle: Duration,
     /// A request that has begun must be complete within this time.
     pub request: Duration,
@@ -25,7 +31,10 @@
     fn default() -> Self {
         Self {
             connections: 256,
+            others: usize::MAX,
+            kept_for: "",
             body: 64 * 1024,
+            first: Duration::from_secs(10),
             idle: Duration::from_secs(120),
             request: Duration::from_secs(5),
             write: Duration::from_secs(5),
@@ -82,14 +91,17 @@
     F: Future<Output = Response> + 'static,
 {
     let open = Rc::new(Cell::new(0usize));
+    let others = Rc::new(Cell::new(0usize));
     loop {
         match listener.accept().await {
             // Above the limit a connection is closed at once: its client goes elsewhere.
             Ok(stream) if open.get() < limits.connections => {
                 open.set(open.get() + 1);
                 let (limits, handler, open) = (limits.clone(), handler.clone(), open.clone());
+                let others = others.clone();
                 tokio::task::spawn_local(async move {
-                    let _ = connection(stream, &limits, &*handler).await;
+                    let mut place = Place { others: &others, taken: false };
+                    let _ = connection(stream, &limits, &*handler, &mut place).await;
                     open.set(open.get() - 1);
                 });
             }
@@ -102,22 +114,59 @@
     }
 }
 
-async fn connection<H, F>(mut stream: Stream, limits: &Limits, handler: &H) -> Result<(), ReadError>
+/// A connection's place among those that are not kept for a path.
+struct Place<'a> {
+    others: &'a Cell<usize>,
+    taken: bool,
+}
+
+impl Place<'_> {
+    /// Whether the request may be served on this connection.
+    fn admits(&mut self, request: &Request, limits: &Limits) -> bool {
+        if self.taken || request.path() == limits.kept_for {
+            return true;
+        }
+        self.taken = self.others.get() < limits.others;
+        self.others.set(self.others.get() + usize::from(self.taken));
+        self.taken
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.others.set(self.others.get() - usize::from(self.taken));
+    }
+}
+
+async fn connection<H, F>(
+    mut stream: Stream,
+    limits: &Limits,
+    handler: &H,
+    place: &mut Place<'_>,
+) -> Result<(), ReadError>
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
 {
     let mut buffer = Vec::new();
+    let mut wait = limits.first;
     loop {
         if buffer.is_empty() {
-            match timeout(limits.idle, message::fill(&mut stream, &mut buffer)).await {
+            match timeout(wait, message::fill(&mut stream, &mut buffer)).await {
                 Ok(filled) => filled?,
                 Err(_) => return Ok(()),
             }
         }
         let read = timeout(limits.request, read_request(&mut stream, &mut buffer, limits)).await;
+        wait = limits.idle;
         let (response, close) = match read {
-            Ok(Ok((request, close))) => (handler(request).await, close),
+            Ok(Ok((request, close))) if place.admits(&request, limits) => {
+                (handler(request).await, close)
+            }
+            Ok(Ok(_)) => {
+                let body = b"{\"error\":\"too many connections\"}".to_vec();
+                (Response { retry_after: Some(1), ..Response::new(503, body) }, true)
+            }
             Ok(Err(ReadError::Closed | ReadError::Io(_))) | Err(_) => return Ok(()),
             Ok(Err(error)) => {
                 let body = format!("{{\"error\":\"{error}\"}}").into_bytes();
@@ -202,13 +251,17 @@
     use tokio::net::TcpListener;
 
     async fn exchange(bytes: &[u8]) -> String {
+        exchange_with(Limits::default(), bytes).await
+    }
+
+    async fn exchange_with(limits: Limits, bytes: &[u8]) -> String {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         let listener: Box<dyn Listener> = Box::new(listener);
         let handler = |r: Request| async move {
             Response::new(200, format!("{} {} {}", r.method, r.path(), r.body.len()).into_bytes())
         };
-        tokio::task::spawn_local(serve(listener, Limits::default(), Rc::new(handler)));
+        tokio::task::spawn_local(serve(listener, limits, Rc::new(handler)));
         let mut stream = Tcp.connect(addr).await.unwrap();
         stream.write_all(bytes).await.unwrap();
         stream.shutdown().await.unwrap();
@@ -245,4 +298,16 @@
             assert_eq!(exchange(b"GET / HT").await, "", "half a request is never answered");
         });
     }
+
+    #[test]
+    fn connections_beyond_the_others_share_are_refused_and_those_kept_are_not() {
+        run(async {
+            let limits = Limits { others: 0, kept_for: "/kept", ..Limits::default() };
+            let kept = b"GET /kept HTTP/1.1\r\nConnection: close\r\n\r\n";
+            assert!(exchange_with(limits.clone(), kept).await.starts_with("HTTP/1.1 200"));
+            let other = exchange_with(limits, b"GET /other HTTP/1.1\r\n\r\n").await;
+            assert!(other.starts_with("HTTP/1.1 503"), "{other}");
+            assert!(other.contains("Retry-After: 1") && other.contains("Connection: close"));
+        });
+    }
 }
