Bounds by need of 1,700 machines; machines are given up only if asked twice in vain; waves share log lines

Cause: the few that don't answer after a take-over were judged by time alone. Healthy machines were also logged as deaf by hundreds while the loop was behind, and 260 dear ones returned took a line each. Bounds: 24 connections to the state service (of 300 requests a second, at answers of 150 ms and more) to 96; 64 frames and 256 reports passed on for a zone of up to 570 workers to 512 and 2,048; 2,000 strays and names of gone machines to 10,000 and 20,000; strays are swept once in a while, not on every visit.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -228,6 +228,8 @@
     /// The highest term that its reports have shown.
     pub(crate) shown_term: u64,
     hearing: Hearing,
+    /// Direct orders in a row that were not answered.
+    pub(crate) unanswered: u32,
     /// The newest of its reports that were older than what is known, and how many came.
     pub(crate) behind: ((u64, u64), u32),
     pub(crate) lapsed: bool,
@@ -276,6 +278,7 @@
             answered_term: 0,
             shown_term: 0,
             hearing: Hearing::Good,
+            unanswered: 0,
             behind: ((0, 0), 0),
             lapsed: false,
             notice: false,
@@ -319,7 +322,7 @@
             (false, _) => Hearing::Deaf,
         };
         if (next == Hearing::Deaf) != (self.hearing == Hearing::Deaf) {
-            tracing::info!(machine = %self.name, from = ?self.hearing, to = ?next, "hearing");
+            tracing::debug!(machine = %self.name, from = ?self.hearing, to = ?next, "hearing");
         }
         self.hearing = next;
     }
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -22,7 +22,7 @@
 /// Orders in one answer; keeps the answer's only line far below 64 KiB.
 const MAX_ORDERS: usize = 250;
 /// Names of machines that are gone, kept so that late messages don't bring them back.
-const MAX_GONE: usize = 2000;
+const MAX_GONE: usize = 20_000;
 /// A decision that no report came to fetch is taken back after this time.
 const ASSIGNED_KEEP: Duration = Duration::from_secs(5);
 const RETRY: Duration = Duration::from_secs(3);
@@ -32,6 +32,12 @@
 /// So many machines that don't, or that part of all, are given up; never most of a small fleet.
 const FEW_UNFENCED: usize = 2;
 const UNFENCED_PART: usize = 8;
+/// And only those that were asked this often in vain: a planner that is busy with the reports of
+/// a whole fleet may not have come round to the others yet.
+const GIVEN_UP_AFTER: u32 = 2;
+
+/// Between two log lines of what happened to machines.
+const NOTE_EVERY: Duration = Duration::from_secs(10);
 
 /// So many reports with low order numbers, each above the one before, and no others, are a reason
 /// to ask the worker whether it counts anew.
@@ -118,6 +124,10 @@
     pub(crate) corrections: HashMap<String, (u32, f64)>,
     last_delete: Option<Instant>,
     pub(crate) passes: u64,
+    /// What happened to machines since the last log line of its kind: how often, and to which.
+    noted: BTreeMap<&'static str, (u32, String)>,
+    noted_at: Option<Instant>,
+    deaf: usize,
     /// Rooms and tasks looked at in planning passes.
     pub(crate) steps: Cell<u64>,
 }
@@ -141,6 +151,9 @@
             corrections: HashMap::new(),
             last_delete: None,
             passes: 0,
+            noted: BTreeMap::new(),
+            noted_at: None,
+            deaf: 0,
             steps: Cell::new(0),
         }
     }
@@ -255,15 +268,38 @@
         self.hand_back(name, "its worker began anew; returned");
     }
 
+    /// Notes what operators should know of a machine. Whole waves of them share a log line.
+    pub(crate) fn note(&mut self, machine: &str, what: &'static str) {
+        tracing::debug!(machine, "{what}");
+        let noted = self.noted.entry(what).or_insert_with(|| (0, machine.to_owned()));
+        noted.0 += 1;
+    }
+
+    fn tell_noted(&mut self, now: Instant) {
+        let recently = |at| now.saturating_duration_since(at) < NOTE_EVERY;
+        if self.noted_at.is_some_and(recently) {
+            return;
+        }
+        let deaf = self.machines.values().filter(|m| m.hearing() == Hearing::Deaf).count();
+        if deaf != std::mem::replace(&mut self.deaf, deaf) {
+            tracing::info!(machines = deaf, "report but take no orders");
+            self.noted_at = Some(now);
+        }
+        for (what, (machines, one)) in std::mem::take(&mut self.noted) {
+            tracing::info!(machines, one, "{what}");
+            self.noted_at = Some(now);
+        }
+    }
+
     /// Returns a machine at once, with all that it may hold; the answered deletion settles that.
-    fn hand_back(&mut self, name: &str, why: &str) {
+    fn hand_back(&mut self, name: &str, why: &'static str) {
         let Some(machine) = self.machines.get_mut(name) else {
             return;
         };
         if machine.state() != MachineState::Deleting {
-            tracing::info!(machine = name, "{why}");
             machine.enter(MachineState::Deleting);
             self.last_delete = None;
+            self.note(name, why);
         }
     }
 
@@ -288,11 +324,22 @@
         if waited < patience || self.unfenced.len() > few {
             return;
         }
-        for name in self.unfenced.clone() {
+        let asked = |name: &&String| {
+            self.machines.get(*name).is_some_and(|machine| machine.unanswered >= GIVEN_UP_AFTER)
+        };
+        let silent: Vec<String> = self.unfenced.iter().filter(asked).cloned().collect();
+        for name in silent {
             self.hand_back(&name, "no answer after the take-over; returned");
         }
     }
 
+    /// A machine did not answer direct orders in time.
+    pub fn unanswered(&mut self, name: &str) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.unanswered += 1;
+        }
+    }
+
     /// All tasks that earlier planners started are accounted for.
     pub fn is_complete(&self) -> bool {
         self.unfenced.is_empty()
@@ -538,6 +585,7 @@
         }
         machine.shown_term = report.term;
         machine.behind = ((0, 0), 0);
+        machine.unanswered = 0;
         if own_report {
             machine.reported(report.term);
         } else {
@@ -760,12 +808,8 @@
                 let proven =
                     machine.failed_jobs.len() >= 2 || (machine.failures >= 2 && job.runs.0 > 0);
                 if proven && machine.state() == MachineState::Up {
-                    tracing::info!(
-                        machine = name,
-                        failures = machine.failures,
-                        "machine fails its tasks; returned"
-                    );
                     machine.enter(MachineState::Draining);
+                    self.note(name, "machine fails its tasks; returned");
                 }
             }
             Some(ExitCause::NoRoom | ExitCause::Busy) => {
@@ -1038,6 +1082,7 @@
         }
         self.give_up_unfenced(now);
         self.tick_machines(now);
+        self.tell_noted(now);
     }
 
     fn tick_machines(&mut self, now: Instant) {
--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -127,9 +127,9 @@
         }
         for name in dear {
             if let Some(machine) = self.machines.get_mut(&name) {
-                tracing::info!(machine = %name, "returning a dear machine");
                 machine.enter(MachineState::Draining);
             }
+            self.note(&name, "returning a dear machine");
         }
     }
 
@@ -262,16 +262,20 @@
 
     /// Machines that take several times their boot time may never come up.
     fn replace_late_boots(&mut self, now: Instant) {
+        let mut late = Vec::new();
         for machine in self.machines.values_mut() {
             let boot_s = machine.size.as_ref().map_or(60.0, |t| t.boot_s);
             let limit = Duration::from_secs_f64(boot_s * 2.5 + 10.0);
             if machine.state() == MachineState::Booting
                 && now.saturating_duration_since(machine.rented_at) > limit
             {
-                tracing::info!(machine = %machine.name, "machine didn't come up; returned");
                 machine.enter(MachineState::Draining);
+                late.push(machine.name.clone());
             }
         }
+        for name in late {
+            self.note(&name, "machine didn't come up; returned");
+        }
     }
 
     /// The most CPUs that one job with an early start to reach asked for lately.
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -794,6 +794,7 @@
             Ok(reply) => reply,
             Err(error) => {
                 tracing::debug!(machine, %error, "direct orders not answered");
+                planner.borrow_mut().unanswered(machine);
                 return;
             }
         };
--- a/crates/corkfield/src/peers.rs
+++ b/crates/corkfield/src/peers.rs
@@ -18,9 +18,10 @@
 /// A worker gives a report up after 4 s.
 const RELAY_LIMIT: Duration = Duration::from_millis(3500);
 const MAX_LINKS: usize = 32;
-/// Frames that may wait for one link, and reports that may be under way in all.
-const MAX_WAITING: usize = 64;
-const MAX_PENDING: usize = 256;
+/// Frames that may wait for one link, and reports that may be under way in all: all workers of a
+/// large zone may have to report this way, some twice a second. A frame is a few KB at most.
+const MAX_WAITING: usize = 512;
+const MAX_PENDING: usize = 2048;
 
 type Pending = oneshot::Sender<Response>;
 
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -4,7 +4,7 @@
 use corkfield_core::Verdict;
 use corkfield_http::Response;
 use corkfield_wire::worker::{Order, Redirect, Report, ReportReply};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,20 +15,28 @@
 const BACK_SOON: Duration = Duration::from_secs(12);
 /// After this a worker whose reports are passed on tries the planner itself again.
 const TRY_AGAIN: Duration = Duration::from_secs(60);
-const MAX_STRAYS: usize = 2000;
+const MAX_STRAYS: usize = 10_000;
 
 /// Workers that were sent to the planner, and since when those that came back are passed on.
 #[derive(Default)]
-pub struct Strays(RefCell<BTreeMap<String, (Instant, Option<Instant>)>>);
+pub struct Strays {
+    visits: RefCell<BTreeMap<String, (Instant, Option<Instant>)>>,
+    swept: Cell<Option<Instant>>,
+}
 
 impl Strays {
     /// Notes a worker's visit; true if its report should be passed on.
     fn visits(&self, machine: &str) -> bool {
         let at = now();
-        let mut strays = self.0.borrow_mut();
-        strays.retain(|_, (seen, _)| at.saturating_duration_since(*seen) < BACK_SOON);
-        let Some((seen, since)) = strays.get_mut(machine) else {
-            if strays.len() < MAX_STRAYS {
+        let mut strays = self.visits.borrow_mut();
+        let stale = |seen: &Instant| at.saturating_duration_since(*seen) >= BACK_SOON;
+        if self.swept.get().is_none_or(|swept| stale(&swept)) {
+            self.swept.set(Some(at));
+            strays.retain(|_, (seen, _)| !stale(seen));
+        }
+        let known = strays.get_mut(machine).filter(|(seen, _)| !stale(seen));
+        let Some((seen, since)) = known else {
+            if strays.len() < MAX_STRAYS || strays.contains_key(machine) {
                 strays.insert(machine.to_owned(), (at, None));
             }
             return false;
--- a/crates/state/src/client.rs
+++ b/crates/state/src/client.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 const MAX_BODY: usize = 8 * 1024 * 1024;
-const CONNECTIONS: usize = 24;
+/// Enough for all requests of the limits while answers take a good part of a second.
+const CONNECTIONS: usize = 96;
 const PAGE: u32 = 1000;
 
 #[derive(Debug, thiserror::Error)]
