Machines that come back one after the other are not taken for the silent few; fleet stories

Cause, found by the story of 1,700 machines: when hundreds of hung or cut machines come back after a take-over, the number of those that haven't answered yet falls below an eighth, and the last of them were returned with all they ran. Now nobody is given up while others still come.

--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -29,6 +29,9 @@
 
 /// After a take-over machines have a report interval and this long to show what they hold.
 const FENCE_PATIENCE: Duration = Duration::from_secs(2);
+/// While others still come, the rest may be on their way: when a cut ends or hung machines go on,
+/// they answer one after the other, and the last of them must not be taken for the silent few.
+const FENCE_STILL: Duration = Duration::from_secs(3);
 /// So many machines that don't, or that part of all, are given up; never most of a small fleet.
 const FEW_UNFENCED: usize = 2;
 const UNFENCED_PART: usize = 8;
@@ -117,6 +120,8 @@
     unfenced: BTreeSet<String>,
     /// Since when there are any.
     unfenced_since: Option<Instant>,
+    /// When the newest of them showed what it holds.
+    accounted_at: Option<Instant>,
     pub(crate) actions: Vec<Action>,
     pub(crate) rng: SmallRng,
     pub(crate) renting: Renting,
@@ -145,6 +150,7 @@
             unclaimed: BTreeSet::new(),
             unfenced: BTreeSet::new(),
             unfenced_since: None,
+            accounted_at: None,
             actions: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
             renting: Renting::new(term),
@@ -321,7 +327,9 @@
         }
         let few = FEW_UNFENCED.min(machines / 2).max(machines / UNFENCED_PART);
         let patience = self.config.report_interval + FENCE_PATIENCE;
-        if waited < patience || self.unfenced.len() > few {
+        let coming =
+            self.accounted_at.is_some_and(|at| now.saturating_duration_since(at) < FENCE_STILL);
+        if waited < patience || coming || self.unfenced.len() > few {
             return;
         }
         let asked = |name: &&String| {
@@ -626,7 +634,9 @@
             self.actions.push(Action::Record(name.clone(), record));
         }
         self.sync_tasks(&name, report, own_report, prompt, now);
-        self.unfenced.remove(&name);
+        if self.unfenced.remove(&name) {
+            self.accounted_at = Some(now);
+        }
         if report.notice_s.is_some() {
             self.drain_noticed(&name);
         }
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -704,3 +704,25 @@
     }
     assert!(stored.contains(&last), "{stored:?}");
 }
+
+#[test]
+fn while_silent_machines_come_back_one_after_the_other_the_last_are_not_given_up() {
+    let start = Instant::now();
+    let mut planner = planner(7);
+    for n in 0..48 {
+        planner.recorded_machine(&format!("host-{n}"), &machine_record(), Duration::ZERO, start);
+        (0..3).for_each(|_| planner.unanswered(&format!("host-{n}")));
+    }
+    // Long after the patience with a few, a cut ends.
+    for n in 0..47 {
+        let now = start + Duration::from_secs(8) + Duration::from_millis(200) * n;
+        let again = Report { machine: format!("host-{n}"), ..report(9, 7, Vec::new()) };
+        planner.on_report(&again, true, now);
+        planner.tick(now);
+        let returned = |action: &Action| matches!(action, Action::Delete(_));
+        assert!(!planner.take_actions().iter().any(returned), "after machine {n}");
+    }
+    planner.tick(start + Duration::from_secs(21));
+    let last = Action::Delete(vec!["host-47".into()]);
+    assert!(planner.take_actions().contains(&last), "silent while nothing else comes");
+}
--- /dev/null
+++ b/crates/corkfield/tests/fleet/mod.rs
@@ -0,0 +1,131 @@
+//! A fleet of 1,700 machines. Bounds are counts, so that they hold on any machine.
+
+use crate::world::{secs, spec, story_with, Grants, World, NODES};
+use corkfield_fakes::Fault;
+use corkfield_wire::store::{Txn, PATH_TXN};
+use corkfield_wire::JobSpec;
+use std::cell::Cell;
+use std::rc::Rc;
+
+const MACHINES: usize = 1700;
+const GRANTS: Grants =
+    Grants { state_rps: 500.0, write_rps: 200.0, cloud_rps: 12.0, sockets: 3900 };
+
+/// Requests to the state service and changes in them, calls of the cloud, machines and tasks
+/// looked at in planning passes.
+#[derive(Debug, Clone, Copy)]
+struct Counts {
+    requests: u32,
+    changes: u32,
+    calls: u32,
+    steps: u64,
+}
+
+struct Counter {
+    world: Rc<World>,
+    requests: Rc<Cell<u32>>,
+    changes: Rc<Cell<u32>>,
+}
+
+impl Counter {
+    fn new(world: &Rc<World>) -> Self {
+        let (requests, changes) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        let counted = (requests.clone(), changes.clone());
+        world.store.set_faults(move |request| {
+            counted.0.set(counted.0.get() + 1);
+            if request.path() == PATH_TXN {
+                let txn: Txn = serde_json::from_slice(&request.body).unwrap_or_default();
+                counted.1.set(counted.1.get() + u32::try_from(txn.changes.len()).unwrap_or(0));
+            }
+            Fault::None
+        });
+        Self { world: world.clone(), requests, changes }
+    }
+
+    /// Counts since the last call; steps since the planner took over.
+    async fn take(&self) -> Counts {
+        let node = self.world.planner_node();
+        let view = self.world.ask(node, "GET", "/operator/overview", b"").await;
+        let view: serde_json::Value =
+            serde_json::from_slice(&view.expect("an answer").1).expect("an overview");
+        Counts {
+            requests: self.requests.take(),
+            changes: self.changes.take(),
+            calls: self.world.cloud.calls.take(),
+            steps: view["planning"]["steps"].as_u64().expect("it plans"),
+        }
+    }
+}
+
+#[test]
+fn a_fleet_comes_up_is_taken_over_and_loses_a_third_within_its_limits() {
+    story_with(GRANTS, 16, |world| async move {
+        world.cloud.capacity.set(MACHINES);
+        let counter = Counter::new(&world);
+        let jobs: Vec<_> = (1..=6).map(|n| JobSpec { estimate_s: 20.0, ..spec(n, 3000) }).collect();
+        for job in &jobs {
+            world.submit(job, 20.0).await;
+        }
+        let begun = tokio::time::Instant::now();
+        while world.ledger.starts_in_all() < 12_000 {
+            secs(0.5).await;
+            assert!(
+                begun.elapsed().as_secs_f64() < 30.0,
+                "{} starts",
+                world.ledger.starts_in_all()
+            );
+        }
+        // 34 rentals, a record for each machine, a write for each job's next first starts.
+        let ramp = counter.take().await;
+        assert!(ramp.calls < 120 && ramp.requests < 500 && ramp.changes < 2500, "{ramp:?}");
+        assert!(ramp.steps < 400_000, "{ramp:?}");
+        // A part of the machines is silent when the planner is replaced.
+        let spot = world.cloud.workers().into_iter().filter(|worker| worker.settings.spot);
+        let hung: Vec<_> = spot.step_by(6).collect();
+        hung.iter().for_each(|worker| worker.set_hung(true));
+        let before = world.ledger.starts_in_all();
+        world.restart(world.planner_node(), 0.3).await;
+        secs(6.0).await;
+        let taken = counter.take().await;
+        assert!(taken.requests < 200 && taken.changes < 600, "{taken:?}");
+        assert!(taken.steps < 300_000, "{taken:?}");
+        assert!(world.ledger.starts_in_all() > before + 500, "the others are not waited for");
+        hung.iter().for_each(|worker| worker.set_hung(false));
+        secs(3.0).await;
+        assert!(hung.iter().all(|worker| !worker.dead.get()), "too many to be given up");
+        // A wave without notice.
+        for worker in world.cloud.workers().into_iter().step_by(3) {
+            world.cloud.take(&worker.settings.name);
+        }
+        for job in &jobs {
+            world.until_done(&job.id, 100.0).await;
+        }
+        let wave = counter.take().await;
+        assert!(wave.calls < 250 && wave.requests < 1200 && wave.changes < 4000, "{wave:?}");
+        assert!(wave.steps < 1_500_000, "{wave:?}");
+        // Every worker's, a share for direct orders, and few besides.
+        for node in NODES {
+            let most = world.net.most_open(node);
+            assert!(most < MACHINES + GRANTS.sockets as usize * 24 / 100, "{node}: {most}");
+        }
+    });
+}
+
+#[test]
+fn questions_to_silent_machines_keep_to_their_share_of_the_sockets() {
+    let grants = Grants { sockets: 300, ..GRANTS };
+    story_with(grants, 190, |world| async move {
+        let job = spec(1, 1500);
+        world.submit(&job, 30.0).await;
+        secs(8.0).await;
+        world.cloud.workers().iter().for_each(|worker| worker.set_hung(true));
+        let old = world.planner_node();
+        world.kill(old);
+        secs(14.0).await;
+        let planner = world.planner_node();
+        assert_ne!(planner, old);
+        // 66 questions at a time, the store, the cloud, the user, the other controller.
+        let most = world.net.most_open(NODES[planner]);
+        assert!(most < 110, "{most}");
+    });
+}
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -1,6 +1,7 @@
 //! Whole controllers against in-memory stand-ins, in simulated time.
 
 mod doubts;
+mod fleet;
 mod world;
 
 use corkfield_fakes::{Fault, Plan};
--- a/crates/corkfield/tests/world/mod.rs
+++ b/crates/corkfield/tests/world/mod.rs
@@ -20,7 +20,19 @@
 pub const CANCEL_S: f64 = 30.0;
 pub const LEASE_S: f64 = 12.0;
 
+/// What the platform grants.
+#[derive(Debug, Clone, Copy)]
+pub struct Grants {
+    pub state_rps: f64,
+    pub write_rps: f64,
+    pub cloud_rps: f64,
+    pub sockets: u32,
+}
+
+const SMALL: Grants = Grants { state_rps: 200.0, write_rps: 90.0, cloud_rps: 5.0, sockets: 500 };
+
 pub struct World {
+    grants: Grants,
     pub net: MemoryNet,
     pub store: Rc<FakeStore>,
     pub cloud: Rc<FakeCloud>,
@@ -32,7 +44,8 @@
     seeds: Cell<u64>,
 }
 
-fn settings_of(n: usize) -> Settings {
+fn settings_of(n: usize, grants: Grants) -> Settings {
+    let Grants { state_rps, write_rps, cloud_rps, sockets } = grants;
     let mut text = format!(
         "node_name = \"{}\"\ndomain = \"z1\"\nclient_listen = \"10.0.0.{}:8080\"\nback = \"10.0.0.{}:8081\"\n",
         NODES[n], n + 1, n + 1
@@ -54,8 +67,8 @@
     }
     text += &format!(
         "[settings.workers]\nreport_s = 2.0\nlease_s = {LEASE_S:.1}\ncancel_s = {CANCEL_S:.1}\n\
-         [settings.state]\nrps = 200.0\nwrite_rps = 90.0\nvalue_kb = 16.0\ntxn_ops = 12\n\
-         [settings.cloud]\nrps = 5.0\nlist_lag_s = 1.0\n[settings.limits]\nsockets = 500\n"
+         [settings.state]\nrps = {state_rps:.1}\nwrite_rps = {write_rps:.1}\nvalue_kb = 16.0\ntxn_ops = 12\n\
+         [settings.cloud]\nrps = {cloud_rps:.1}\nlist_lag_s = 1.0\n[settings.limits]\nsockets = {sockets}\n"
     );
     let platform = Platform::parse(&text).expect("the settings are valid");
     Settings { platform, operator: Operator::default() }
@@ -63,13 +76,21 @@
 
 /// Plays a story in simulated time; it ends with a look at the rules.
 pub fn story<F: Future<Output = ()>>(machines: u32, tell: impl FnOnce(Rc<World>) -> F) {
+    story_with(SMALL, machines, tell);
+}
+
+pub fn story_with<F: Future<Output = ()>>(
+    grants: Grants,
+    machines: u32,
+    tell: impl FnOnce(Rc<World>) -> F,
+) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .start_paused(true)
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
-        let world = Rc::new(World::new(machines));
+        let world = Rc::new(World::new(grants, machines));
         for n in 0..NODES.len() {
             world.start(n);
         }
@@ -97,11 +118,11 @@
 }
 
 impl World {
-    fn new(machines: u32) -> Self {
+    fn new(grants: Grants, machines: u32) -> Self {
         let net = MemoryNet::default();
         let ledger = Rc::new(Ledger::default());
         ledger.cancel_after.set(Duration::from_secs_f64(CANCEL_S));
-        ledger.set_teams(settings_of(0).platform.params.teams);
+        ledger.set_teams(settings_of(0, grants).platform.params.teams);
         let store = Rc::new(FakeStore::default());
         store.keep_time();
         let mut refused = Vec::new();
@@ -147,12 +168,13 @@
             (0..NODES.len()).map(|n| Client::new(user.clone(), users(n), 50, 1024 * 1024));
         let clients = clients.collect();
         let running = RefCell::new((0..NODES.len()).map(|_| None).collect());
-        Self { net, store, cloud, ledger, refused, running, clients, seeds: Cell::new(7) }
+        Self { grants, net, store, cloud, ledger, refused, running, clients, seeds: Cell::new(7) }
     }
 
     pub fn start(&self, n: usize) {
         self.seeds.set(self.seeds.get() + 1);
-        let (settings, network, seed) = (settings_of(n), self.net.host(NODES[n]), self.seeds.get());
+        let (settings, network, seed) =
+            (settings_of(n, self.grants), self.net.host(NODES[n]), self.seeds.get());
         // Its own task set: when it is dropped, all that the controller had under way ends.
         let handle = tokio::task::spawn_local(async move {
             let set = LocalSet::new();
--- a/crates/fakes/src/cloud.rs
+++ b/crates/fakes/src/cloud.rs
@@ -36,6 +36,7 @@
     bookings: RefCell<BTreeMap<String, Vec<String>>>,
     next: Cell<u32>,
     pub rentals: Cell<u32>,
+    pub calls: Cell<u32>,
 }
 
 impl FakeCloud {
@@ -58,6 +59,7 @@
             bookings: RefCell::default(),
             next: Cell::new(0),
             rentals: Cell::new(0),
+            calls: Cell::new(0),
         })
     }
 
@@ -124,6 +126,7 @@
 
     async fn handle(self: Rc<Self>, request: Request) -> Response {
         sleep(0.05).await;
+        self.calls.set(self.calls.get() + 1);
         if self.down.get() {
             return Response::new(503, b"{\"error\":\"trouble\"}".to_vec());
         }
--- a/crates/fakes/src/net.rs
+++ b/crates/fakes/src/net.rs
@@ -23,6 +23,34 @@
     cuts: RefCell<BTreeSet<(String, String)>>,
     healed: Notify,
     spawn: mpsc::UnboundedSender<Task>,
+    /// Connections that each host has open, and the most it had.
+    open: RefCell<BTreeMap<String, (usize, usize)>>,
+}
+
+/// A connection, as long as its client keeps it.
+struct Counted(Rc<Inner>, [String; 2]);
+
+impl Counted {
+    fn new(net: Rc<Inner>, a: &str, b: &str) -> Self {
+        let ends = [a.to_owned(), b.to_owned()];
+        for end in &ends {
+            let mut open = net.open.borrow_mut();
+            let count = open.entry(end.clone()).or_default();
+            count.0 += 1;
+            count.1 = count.1.max(count.0);
+        }
+        Self(net, ends)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        for end in &self.1 {
+            if let Some(count) = self.0.open.borrow_mut().get_mut(end) {
+                count.0 -= 1;
+            }
+        }
+    }
 }
 
 impl Inner {
@@ -60,6 +88,7 @@
             cuts: RefCell::default(),
             healed: Notify::new(),
             spawn,
+            open: RefCell::default(),
         }))
     }
 }
@@ -79,6 +108,11 @@
         self.0.healed.notify_waiters();
     }
 
+    /// The most connections that a host had open at once.
+    pub fn most_open(&self, host: &str) -> usize {
+        self.0.open.borrow().get(host).map_or(0, |(_, most)| *most)
+    }
+
     /// Runs something that outlives the task that started it.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
         let _ = self.0.spawn.send(Box::pin(task));
@@ -105,12 +139,16 @@
             let (far, theirs) = tokio::io::duplex(64 * 1024);
             let (near_read, near_write) = tokio::io::split(near);
             let (far_read, far_write) = tokio::io::split(far);
-            let pump = |read, write| {
+            let counted = Counted::new(self.net.clone(), &self.name, &other);
+            let pump = |read, write, counted| {
                 let (net, a, b) = (self.net.clone(), self.name.clone(), other.clone());
-                let _ = self.net.spawn.send(Box::pin(pump(net, a, b, read, write)));
+                let _ = self.net.spawn.send(Box::pin(async move {
+                    pump(net, a, b, read, write).await;
+                    drop(counted);
+                }));
             };
-            pump(near_read, far_write);
-            pump(far_read, near_write);
+            pump(near_read, far_write, Some(counted));
+            pump(far_read, near_write, None);
             incoming.send(Box::new(theirs)).map_err(|_| refused())?;
             Ok(Box::new(mine) as Stream)
         })
