--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -7,7 +7,7 @@
 use corkfield_cloud::CloudError;
 use corkfield_core::{Action, Planner, Verdict};
 use corkfield_http::{Client, Response};
-use corkfield_state::{StateError, Use};
+use corkfield_state::{Share, StateError, Use};
 use corkfield_wire::cloud::{MachineType, RentRequest};
 use corkfield_wire::records::{
     controller_key, job_key, knock_key, machine_key, JobRecord, Knock, MachineRecord,
@@ -32,7 +32,11 @@
 const SUCCESSOR_HEAD_START: Duration = Duration::from_secs(2);
 
 /// The planner's part of the state service's limits; the others share the rest.
-const PLANNER_SHARE: f64 = 0.6;
+const PLANNER_REQUESTS: f64 = 0.6;
+const PLANNER_WRITES: f64 = 0.7;
+/// The others write nothing but what users send, little on average and much at once: so many
+/// seconds' worth may come together.
+const STANDBY_BURST_S: f64 = 5.0;
 /// Machines are rented and returned this often, or that soon after a claim.
 const ADJUST: Duration = Duration::from_secs(1);
 const ADJUST_SOON: Duration = Duration::from_millis(200);
@@ -184,11 +188,18 @@
     HandedOver,
 }
 
-fn standby_share(node: &Node) -> f64 {
-    let others = node.settings.platform.params.size.saturating_sub(1).max(1);
-    (1.0 - PLANNER_SHARE) / f64::from(others)
+fn standby_share(node: &Node) -> Share {
+    let others = f64::from(node.settings.platform.params.size.saturating_sub(1).max(1));
+    Share {
+        requests: (1.0 - PLANNER_REQUESTS) / others,
+        writes: (1.0 - PLANNER_WRITES) / others,
+        burst_s: STANDBY_BURST_S,
+    }
 }
 
+const PLANNER_SHARE: Share =
+    Share { requests: PLANNER_REQUESTS, writes: PLANNER_WRITES, burst_s: 1.0 };
+
 /// Stands by, and plans whenever the record can be claimed.
 pub async fn lead(node: Rc<Node>) {
     node.leader.end();
@@ -586,7 +597,8 @@
             txn = txn.put(machine_key(name), serde_json::to_value(&record).unwrap_or_default());
         }
         tokio::task::spawn_local(async move {
-            let stored = node.state.txn(Use::Claim, &txn).await;
+            // After what users send: a fleet that comes up has hundreds of these.
+            let stored = node.state.txn(Use::Settling, &txn).await;
             for (name, _) in &machines {
                 planner.borrow_mut().machine_recorded(name, stored.is_ok());
             }
--- a/crates/state/src/budget.rs
+++ b/crates/state/src/budget.rs
@@ -63,7 +63,10 @@
         bucket.tokens = (bucket.tokens + gained).min(bucket.burst);
         bucket.at = now;
         let cost = cost.min(bucket.burst);
-        let need = (cost + for_use.reserve() * bucket.burst).min(bucket.burst);
+        // What is left for more important uses is a part of a second's worth, however much may
+        // come at once.
+        let reserve = for_use.reserve() * bucket.burst.min(bucket.rate.max(1.0));
+        let need = (cost + reserve).min(bucket.burst);
         if bucket.tokens + 1e-9 >= need {
             bucket.tokens -= cost;
             return None;
@@ -96,4 +99,16 @@
         budget.take(Use::Settling, 2.0).await;
         assert!(start.elapsed() > Duration::from_millis(50));
     }
+
+    #[tokio::test(start_paused = true)]
+    async fn many_submissions_at_once_find_the_burst_that_nobody_used() {
+        let budget = Budget::new(12.0, 12.0 * 5.0);
+        let start = Instant::now();
+        for _ in 0..50 {
+            budget.take(Use::Submission, 1.0).await;
+        }
+        assert!(start.elapsed() < Duration::from_millis(10));
+        budget.take(Use::Submission, 10.0).await;
+        assert!(start.elapsed() > Duration::from_millis(100), "but no more than that");
+    }
 }
--- a/crates/state/src/client.rs
+++ b/crates/state/src/client.rs
@@ -34,6 +34,15 @@
     Nonsense(String),
 }
 
+/// The parts of the service's limits that this controller may use.
+#[derive(Debug, Clone, Copy)]
+pub struct Share {
+    pub requests: f64,
+    pub writes: f64,
+    /// Seconds' worth of changes that may come at once.
+    pub burst_s: f64,
+}
+
 pub struct StateClient {
     http: Client,
     requests: Budget,
@@ -49,19 +58,19 @@
         let client = Self {
             http: Client::new(network, addr, CONNECTIONS, MAX_BODY),
             requests: Budget::new(rps, rps),
-            writes: Budget::new(write_rps, write_rps),
+            writes: Budget::new(write_rps, write_rps / 2.0),
             rps,
             write_rps,
             timeout: Duration::from_millis(1500),
         };
-        client.set_share(0.2);
+        client.set_share(Share { requests: 0.2, writes: 0.2, burst_s: 2.5 });
         client
     }
 
-    /// The part of the limits that this controller may use.
-    pub fn set_share(&self, share: f64) {
-        self.requests.set_rate(self.rps * share, self.rps * share);
-        self.writes.set_rate(self.write_rps * share, self.write_rps * share);
+    pub fn set_share(&self, share: Share) {
+        let (requests, writes) = (self.rps * share.requests, self.write_rps * share.writes);
+        self.requests.set_rate(requests, requests);
+        self.writes.set_rate(writes, writes * share.burst_s);
     }
 
     async fn send(
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,4 +5,4 @@
 mod client;
 
 pub use budget::{Budget, Use};
-pub use client::{StateClient, StateError};
+pub use client::{Share, StateClient, StateError};
