--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -49,8 +49,11 @@
     #[serde(default)]
     pub objectives: Vec<Objective>,
     pub workers: Workers,
+    #[serde(default)]
     pub state: StateLimits,
+    #[serde(default)]
     pub cloud: CloudLimits,
+    #[serde(default)]
     pub limits: Limits,
 }
 
@@ -85,7 +88,9 @@
     pub cancel_s: f64,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+/// Limits of 0, and those that are not given, get defaults that a small service bears.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
 pub struct StateLimits {
     pub rps: f64,
     pub write_rps: f64,
@@ -93,14 +98,15 @@
     pub txn_ops: u32,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Default, Deserialize)]
 pub struct CloudLimits {
+    #[serde(default)]
     pub rps: f64,
     #[serde(default)]
     pub list_lag_s: f64,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Default, Deserialize)]
 pub struct Limits {
     #[serde(default)]
     pub cpu_share: f64,
@@ -120,7 +126,8 @@
 
 impl Platform {
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let platform: Self = toml::from_str(text)?;
+        let mut platform: Self = toml::from_str(text)?;
+        platform.params.fill();
         platform.check()?;
         Ok(platform)
     }
@@ -170,6 +177,25 @@
     }
 }
 
+impl Params {
+    fn fill(&mut self) {
+        let limits = [
+            (&mut self.state.rps, 100.0),
+            (&mut self.state.write_rps, 40.0),
+            (&mut self.state.value_kb, 16.0),
+            (&mut self.cloud.rps, 2.0),
+        ];
+        for (limit, default) in limits {
+            if *limit == 0.0 {
+                *limit = default;
+            }
+        }
+        if self.state.txn_ops == 0 {
+            self.state.txn_ops = 8;
+        }
+    }
+}
+
 impl Workers {
     pub fn lease(&self) -> Duration {
         Duration::from_secs_f64(self.lease_s)
@@ -179,3 +205,26 @@
         Duration::from_secs_f64(self.report_s)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LEAST: &str = "node_name = \"n\"\ndomain = \"z\"\nclient_listen = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n\
+        new_field = [1, 2]\n[endpoints]\ncloud = \"10.0.0.2:1\"\nstate = \"10.0.0.2:2\"\n[settings]\nsize = 7\n\
+        [settings.workers]\nreport_s = 9.0\nlease_s = 40.0\ncancel_s = 70.0\n";
+
+    #[test]
+    fn limits_that_are_missing_or_zero_get_defaults_and_wrong_ones_are_named() {
+        let zero = format!("{LEAST}[settings.state]\nrps = 0.0\n[settings.cloud]\nrps = 0.0\n");
+        for text in [LEAST, &zero] {
+            let params = Platform::parse(text).expect("valid").params;
+            assert!(params.state.rps > 0.0 && params.state.write_rps > 0.0);
+            assert!(params.state.value_kb >= 8.0 && params.state.txn_ops >= 4);
+            assert!(params.cloud.rps > 0.0 && params.size == 7);
+        }
+        let wrong = format!("{LEAST}[settings.state]\nrps = -1.0\n");
+        let error = Platform::parse(&wrong).expect_err("negative").to_string();
+        assert!(error.contains("settings.state.rps"), "{error}");
+    }
+}
