Idle users yield when their share is crowded; story of bad input in a take-over

Cause, found by the story: users' connections beyond their share are refused at once, but idle ones kept their places for 120 s, so some clients could shut out all others for that long. Now, once three quarters are taken, a connection that stays idle for 2 s is closed. The story sends half-sent, malformed, oversized and far too many requests to all controllers in a take-over; it was seen to fail without this (no user got through) and without the users' share (no answer at all).

--- a/crates/corkfield/tests/fleet/mod.rs
+++ b/crates/corkfield/tests/fleet/mod.rs
@@ -2,10 +2,14 @@
 
 use crate::world::{secs, spec, story_with, Grants, World, NODES};
 use corkfield_fakes::Fault;
+use corkfield_http::Network;
 use corkfield_wire::store::{Txn, PATH_TXN};
+use corkfield_wire::user::PATH_JOBS;
 use corkfield_wire::JobSpec;
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use tokio::io::AsyncWriteExt;
 
 const MACHINES: usize = 1700;
 const GRANTS: Grants =
@@ -129,3 +133,43 @@
         assert!(most < 110, "{most}");
     });
 }
+
+#[test]
+fn bad_and_excessive_requests_in_a_take_over_harm_neither_workers_nor_users() {
+    let grants = Grants { sockets: 300, ..GRANTS };
+    story_with(grants, 60, |world| async move {
+        let job = spec(1, 300);
+        world.submit(&job, 20.0).await;
+        secs(6.0).await;
+        world.restart(world.planner_node(), 0.3).await;
+        // Far more connections of users than their share, malformed and oversized bodies, halves.
+        let rude = world.net.host("rude");
+        let mut held = Vec::new();
+        for round in 0..260u32 {
+            for node in 0..NODES.len() {
+                let addr = SocketAddr::from(([10, 0, 0, node as u8 + 1], 8080));
+                let Ok(mut stream) = rude.connect(addr).await else { continue };
+                let large = format!("POST {PATH_JOBS} HTTP/1.1\r\nContent-Length: 70000\r\n\r\n");
+                let bytes: &[u8] = match round % 8 {
+                    0 => b"POST /submissions HTTP/1.1\r\nContent-Length: 2\r\n\r\n{x",
+                    1 => large.as_bytes(),
+                    2 => b"POST /submissions HTT",
+                    _ => b"GET /ready HTTP/1.1\r\n\r\n",
+                };
+                let _ = stream.write_all(bytes).await;
+                held.push(stream);
+            }
+        }
+        secs(2.0).await;
+        let path = format!("{PATH_JOBS}/{}", job.id);
+        for node in 0..NODES.len() {
+            let begun = tokio::time::Instant::now();
+            let answer = world.ask(node, "GET", &path, b"").await.map(|(status, _)| status);
+            assert!(matches!(answer, Some(200 | 503)), "node {node}: {answer:?}");
+            assert!(begun.elapsed().as_secs_f64() < 2.0, "never held back");
+        }
+        world.until_done(&job.id, 60.0).await;
+        assert_eq!(world.ledger.starts_in_all(), 300, "no worker lost its lease");
+        drop(held);
+    });
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -21,6 +21,8 @@
     pub first: Duration,
     /// A connection without a further request is closed after this time.
     pub idle: Duration,
+    /// The same once most of [`Self::others`] are taken: idle ones must not keep new clients out.
+    pub crowded: Duration,
     /// A request that has begun must be complete within this time.
     pub request: Duration,
     /// A response must be taken within this time.
@@ -36,6 +38,7 @@
             body: 64 * 1024,
             first: Duration::from_secs(10),
             idle: Duration::from_secs(120),
+            crowded: Duration::from_secs(2),
             request: Duration::from_secs(5),
             write: Duration::from_secs(5),
         }
@@ -130,6 +133,10 @@
         self.others.set(self.others.get() + usize::from(self.taken));
         self.taken
     }
+
+    fn is_crowded(&self, limits: &Limits) -> bool {
+        self.taken && self.others.get() > limits.others / 4 * 3
+    }
 }
 
 impl Drop for Place<'_> {
@@ -158,7 +165,6 @@
             }
         }
         let read = timeout(limits.request, read_request(&mut stream, &mut buffer, limits)).await;
-        wait = limits.idle;
         let (response, close) = match read {
             Ok(Ok((request, close))) if place.admits(&request, limits) => {
                 (handler(request).await, close)
@@ -173,6 +179,7 @@
                 (Response::new(400, body), true)
             }
         };
+        wait = if place.is_crowded(limits) { limits.crowded } else { limits.idle };
         let bytes = encode(&response, close);
         match timeout(limits.write, stream.write_all(&bytes)).await {
             Ok(written) => written?,
