Stopping what is cancelled waits for nothing; a proof counts once the planner has what it brought

Cause, found by reading: jobs that are over were closed only between claims, while reports went on being answered on ever fresher reads; a claim that waits for its transaction or, for ever, for chunks of finished tasks kept cancelled tasks running. And a planner that waits in a hand-over did not see that another had taken its place, or that its lease was lost and taken anew.

Now each read closes what it shows as over before it counts as a proof of fresh state; cancelled jobs that are not claimed yet are stopped too; each answer asks whether the copy of the store shows another planner, and starts ask for the very lease that the claim rests on. A new planner waits until its copy of the store has what its predecessors claimed. Knocks are conditional on the planner that they are about, and old ones are no news after a reload.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -157,6 +157,11 @@
 }
 
 impl HeldTasks {
+    pub(crate) fn has_tasks_of(&self, job: &JobId) -> bool {
+        let first = (TaskId { job: job.clone(), index: 0 }, 0);
+        self.tasks.range(first..).next().is_some_and(|((task, _), _)| task.job == *job)
+    }
+
     pub(crate) fn totals(&self) -> &Totals {
         self.totals.get_or_init(|| {
             let mut totals = Totals::default();
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -194,10 +194,6 @@
         lapsed.map(|(id, _)| id.clone()).collect()
     }
 
-    pub fn live_jobs(&self) -> Vec<JobId> {
-        self.jobs.iter().filter(|(_, j)| j.is_live()).map(|(id, _)| id.clone()).collect()
-    }
-
     pub fn machine(&self, name: &str) -> Option<&Machine> {
         self.machines.get(name)
     }
@@ -413,12 +409,24 @@
         self.jobs.insert(id, job);
     }
 
-    /// The job is cancelled, done, or another's: nothing of it may start any more.
+    /// Closes all jobs that are no longer unfinished.
+    pub fn close_all_but(&mut self, unfinished: impl Fn(&JobId) -> bool) {
+        let live = self.jobs.iter().filter(|(_, job)| job.is_live()).map(|(id, _)| id);
+        let over = live.chain(&self.unclaimed).filter(|id| !unfinished(id)).cloned();
+        for id in over.collect::<Vec<JobId>>() {
+            self.close_job(&id);
+        }
+    }
+
+    /// The job is cancelled, done, or another's: nothing of it may start any more, and what of it
+    /// is on machines is stopped, whether it was claimed yet or not.
     pub fn close_job(&mut self, id: &JobId) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        job.enter(JobState::Closing);
+        let unclaimed = self.unclaimed.remove(id);
+        match self.jobs.get_mut(id) {
+            Some(job) if job.is_live() => job.enter(JobState::Closing),
+            None if unclaimed => {}
+            _ => return,
+        }
         tracing::debug!(job = %id, "closed");
         self.stop_job(id);
         self.sweep_job(id);
@@ -426,7 +434,7 @@
 
     fn stop_job(&mut self, id: &JobId) {
         let mut orders: Vec<Action> = Vec::new();
-        for machine in self.machines.values_mut() {
+        for machine in self.machines.values_mut().filter(|m| m.held.has_tasks_of(id)) {
             machine
                 .held
                 .retain(|(task, _), held| !(task.job == *id && held.state == HeldState::Assigned));
@@ -854,6 +862,12 @@
         }
     }
 
+    /// Whether starts wait for that machine's next report.
+    pub fn has_starts_for(&self, name: &str) -> bool {
+        let assigned = |held: &Held| held.state == HeldState::Assigned;
+        self.machines.get(name).is_some_and(|machine| machine.held.values().any(assigned))
+    }
+
     /// Whether the answer to a report may wait for work: the machine has nothing to tell.
     pub fn may_hold(&self, name: &str) -> bool {
         self.machines.get(name).is_some_and(|m| {
--- a/crates/corkfield/src/follow.rs
+++ b/crates/corkfield/src/follow.rs
@@ -26,7 +26,8 @@
     revision: u64,
     pub jobs: BTreeMap<JobId, (JobRecord, u64)>,
     pub controllers: BTreeMap<String, (Presence, u64)>,
-    pub knocks: BTreeMap<String, Instant>,
+    /// Versions of the knocks, and when they were seen as news.
+    knocks: BTreeMap<String, (u64, Instant)>,
     pub planner: Option<(PlannerRecord, u64)>,
     planner_since: Option<Instant>,
     pub types: Option<Vec<MachineType>>,
@@ -51,6 +52,16 @@
         self.finals.get(id).cloned()
     }
 
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Controllers at whose doors workers knocked within that time.
+    pub fn knocked_within(&self, time: Duration) -> impl Iterator<Item = &String> {
+        let recent = move |at: &Instant| now().saturating_duration_since(*at) < time;
+        self.knocks.iter().filter(move |(_, (_, at))| recent(at)).map(|(name, _)| name)
+    }
+
     fn put(&mut self, key: &str, value: Value, version: u64) {
         if let Some(id) = key.strip_prefix(JOBS).and_then(JobId::parse) {
             if let Some(record) = read(key, value) {
@@ -62,7 +73,7 @@
             }
         } else if let Some(node) = key.strip_prefix(KNOCKS) {
             if read::<Knock>(key, value).is_some() {
-                self.knocks.insert(node.to_owned(), now());
+                self.knocks.insert(node.to_owned(), (version, now()));
             }
         } else if key == PLANNER {
             self.planner = read(key, value).map(|record| (record, version));
@@ -84,26 +95,53 @@
 
     /// Applies what is news. Two reads may overlap; what the first brought is skipped, so that
     /// an older value never replaces a newer one.
-    fn apply(&mut self, events: Events) -> bool {
-        let mut changed = false;
+    fn apply(&mut self, events: Events) -> News {
+        let mut news = News::default();
         for event in events.events {
             match event {
                 Event::Put { key, value, version } if version > self.revision => {
                     self.put(&key, value, version);
-                    changed = true;
+                    news.changed = true;
                 }
                 Event::Delete { key, version } if version > self.revision => {
                     self.delete(&key);
-                    changed = true;
+                    news.ended.extend(key.strip_prefix(JOBS).and_then(JobId::parse));
+                    news.changed = true;
                 }
                 _ => {}
             }
         }
         self.revision = self.revision.max(events.revision);
-        changed
+        news
+    }
+
+    /// Takes over what a read of everything doesn't tell.
+    fn inherit(&mut self, before: &mut Self) {
+        self.finals = std::mem::take(&mut before.finals);
+        self.finals_order = std::mem::take(&mut before.finals_order);
+        // Old knocks are no news: a planner that was merely quiet would leave its place for them.
+        let known = &before.knocks;
+        self.knocks.retain(|name, (version, at)| match known.get(name) {
+            Some((before, seen)) if before == version => {
+                *at = *seen;
+                true
+            }
+            before => before.is_some(),
+        });
+        if self.planner.as_ref().map(|p| p.1) == before.planner.as_ref().map(|p| p.1) {
+            self.planner_since = before.planner_since.or(self.planner_since);
+        }
     }
 }
 
+/// What a read changed.
+#[derive(Default)]
+struct News {
+    changed: bool,
+    /// Jobs that are no longer unfinished.
+    ended: Vec<JobId>,
+}
+
 fn read<T: DeserializeOwned>(key: &str, value: Value) -> Option<T> {
     match serde_json::from_value(value) {
         Ok(read) => Some(read),
@@ -154,6 +192,11 @@
         since.map_or(Duration::ZERO, |at| now().saturating_duration_since(at))
     }
 
+    /// When the newest state known was surely current.
+    pub fn proven_at(&self) -> Option<Instant> {
+        self.proof.get()
+    }
+
     fn prove(&self, begun: Instant) {
         self.proof.set(self.proof.get().max(Some(begun)));
     }
@@ -169,13 +212,18 @@
         let waited = tokio::time::timeout(limit, wait).await;
         matches!(waited, Ok(Ok(state)) if state.1)
     }
+}
 
-    fn apply(&self, events: Events, begun: Instant) {
-        let changed = self.cache.borrow_mut().apply(events);
-        self.prove(begun);
-        if changed {
-            self.changed.notify_waiters();
-        }
+/// Applies what a read brought. It is a proof of fresh state (S6) only once the planner has it:
+/// a planner that answers reports on the strength of a read must have closed the jobs that the
+/// read shows as over, whatever else it is waiting for.
+fn apply(node: &Node, events: Events, begun: Instant) {
+    let follower = &node.follower;
+    let news = follower.cache.borrow_mut().apply(events);
+    node.leader.ended(&news.ended);
+    follower.prove(begun);
+    if news.changed {
+        follower.changed.notify_waiters();
     }
 }
 
@@ -192,9 +240,9 @@
         if current.revision > revision {
             return Ok(());
         }
-        cache.finals = std::mem::take(&mut current.finals);
-        cache.finals_order = std::mem::take(&mut current.finals_order);
+        cache.inherit(&mut current);
         *current = cache;
+        node.leader.close_all_but(&current.jobs);
     }
     node.follower.prove(begun);
     node.follower.synced.set(true);
@@ -218,7 +266,7 @@
         let begun = now();
         let pause = match node.state.changes(Use::Claim, FOLLOWED, after, wait).await {
             Ok(events) => {
-                follower.apply(events, begun);
+                apply(&node, events, begun);
                 if node.leader.is_leading() {
                     25
                 } else {
@@ -251,7 +299,7 @@
         let fresh = if follower.is_synced() {
             match node.state.changes(Use::Reading, FOLLOWED, after, Duration::ZERO).await {
                 Ok(events) => {
-                    follower.apply(events, begun);
+                    apply(&node, events, begun);
                     true
                 }
                 Err(error) => {
@@ -270,23 +318,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn of_two_overlapping_reads_the_older_never_undoes_the_newer() {
-        let presence = |lease| {
-            serde_json::to_value(Presence { incarnation: "a".to_owned(), lease })
-                .expect("serializable")
-        };
-        let key = format!("{CONTROLLERS}n");
-        let put = |version| Event::Put { key: key.clone(), value: presence(version), version };
-        let delete = |version| Event::Delete { key: key.clone(), version };
-        let mut cache = Cache::default();
-        cache.apply(Events { revision: 3, events: vec![put(2), delete(3)] });
-        cache.apply(Events { revision: 2, events: vec![put(2)] });
-        assert!(cache.controllers.is_empty(), "the older read came last");
-        cache.apply(Events { revision: 4, events: vec![delete(3), put(4)] });
-        assert_eq!(cache.controllers["n"].1, 4);
-    }
-}
+mod tests;
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -1,9 +1,10 @@
 //! Becoming the planner, and what it does outside: claims, settling writes, fences, orders,
 //! rentals.
 
+use crate::follow::{Cache, Follower};
 use crate::node::{json, now, wall_ms, Node};
 use crate::presence::Current;
-use crate::settling::{self, finished_chunks};
+use crate::settling::{self, finished_chunks, Shared};
 use corkfield_cloud::CloudError;
 use corkfield_core::{Action, Planner, Verdict};
 use corkfield_http::{Client, Response};
@@ -17,7 +18,7 @@
 use corkfield_wire::worker::{DirectOrders, Order, Report, PATH_COMMANDS};
 use corkfield_wire::JobId;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -51,10 +52,48 @@
 /// No report waits longer than this for a pass.
 const PASS_WAIT: Duration = Duration::from_millis(1000);
 
-type Shared = Rc<RefCell<Planner>>;
+/// Cancelled jobs that were heard of, kept so that no copy of the store that is behind brings
+/// them back.
+const MAX_CANCELLED: usize = 4096;
+
+/// The claim of the planner record that this controller plans under.
+#[derive(Clone)]
+struct Tenure {
+    incarnation: String,
+    /// Version of the planner record that the claim rests on.
+    version: Rc<Cell<u64>>,
+}
+
+/// Jobs that the state service holds as cancelled, whatever the copy of it still shows, and when
+/// that became known.
+#[derive(Default)]
+struct Cancelled {
+    since: HashMap<JobId, Instant>,
+    order: VecDeque<JobId>,
+}
+
+impl Cancelled {
+    fn insert(&mut self, id: &JobId, at: Instant) {
+        if self.since.insert(id.clone(), at).is_none() {
+            self.order.push_back(id.clone());
+        }
+        if self.order.len() > MAX_CANCELLED {
+            if let Some(oldest) = self.order.pop_front() {
+                self.since.remove(&oldest);
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &JobId) {
+        self.since.remove(id);
+        self.order.retain(|other| other != id);
+    }
+}
 
 #[derive(Default)]
 pub struct Leader {
+    tenure: RefCell<Option<Tenure>>,
+    cancelled: RefCell<Cancelled>,
     leading: Cell<bool>,
     planner: RefCell<Option<Shared>>,
     ready: Notify,
@@ -105,6 +144,70 @@
         self.planner.borrow().clone()
     }
 
+    /// Whether the copy of the store shows that another claimed the planner record since. Asked
+    /// before each answer to a report, as the loop that ends the planner may be behind: fresh
+    /// state that shows a successor is no proof to answer from (S6).
+    pub fn is_replaced(&self, cache: &Cache) -> bool {
+        let tenure = self.tenure.borrow();
+        tenure.as_ref().is_none_or(|tenure| {
+            cache.planner.as_ref().is_some_and(|(record, version)| {
+                record.incarnation != tenure.incarnation && *version > tenure.version.get()
+            })
+        })
+    }
+
+    /// Whether starts may leave (S4): the lease that the claim rests on surely goes on. A lease
+    /// that was lost and taken anew doesn't count for what was claimed before.
+    pub fn may_start(&self, node: &Node) -> bool {
+        let tenure = self.tenure.borrow();
+        let Some(tenure) = tenure.as_ref() else { return false };
+        node.presence.is_valid()
+            && node.presence.current().is_some_and(|now| now.incarnation == tenure.incarnation)
+    }
+
+    /// These jobs are no longer unfinished. Stopping what was cancelled waits for nothing: not
+    /// for a claim under way, nor for a read that is repeated.
+    pub fn ended(&self, jobs: &[JobId]) {
+        let Some(planner) = self.planner().filter(|_| !jobs.is_empty()) else { return };
+        jobs.iter().for_each(|id| planner.borrow_mut().close_job(id));
+        self.actions.notify_one();
+    }
+
+    /// The same for all that are not among the unfinished.
+    pub fn close_all_but(&self, unfinished: &BTreeMap<JobId, (JobRecord, u64)>) {
+        let Some(planner) = self.planner() else { return };
+        planner.borrow_mut().close_all_but(|id| unfinished.contains_key(id));
+        self.actions.notify_one();
+    }
+
+    /// The state service holds the job as cancelled: this controller committed that, or another
+    /// one that did, or read it, said so. The copy of the store may be behind, or the service may
+    /// refuse this controller.
+    pub fn cancelled(&self, id: &JobId) {
+        self.cancelled.borrow_mut().insert(id, now());
+        self.ended(std::slice::from_ref(id));
+    }
+
+    fn is_cancelled(&self, id: &JobId) -> bool {
+        self.cancelled.borrow().since.contains_key(id)
+    }
+
+    /// Drops what a read begun later refutes: it still holds the job as unfinished. Only a fault
+    /// in another controller can bring that about; its tasks were stopped for nothing, and the
+    /// job is claimed anew.
+    fn refute_cancelled(&self, follower: &Follower) {
+        let Some(proven) = follower.proven_at() else { return };
+        let mut cancelled = self.cancelled.borrow_mut();
+        let cache = follower.cache.borrow();
+        let refuted = |(id, at): &(&JobId, &Instant)| **at < proven && cache.jobs.contains_key(id);
+        let refuted: Vec<JobId> =
+            cancelled.since.iter().filter(refuted).map(|(id, _)| id.clone()).collect();
+        for id in refuted {
+            tracing::error!(job = %id, "said to be cancelled, but the state service has it");
+            cancelled.remove(&id);
+        }
+    }
+
     pub fn wake_actions(&self) {
         self.last_report.set(Some(now()));
         self.actions.notify_one();
@@ -171,6 +274,7 @@
 
     fn end(&self) {
         self.leading.set(false);
+        *self.tenure.borrow_mut() = None;
         *self.planner.borrow_mut() = None;
         self.ready.notify_waiters();
         self.planned.notify_waiters();
@@ -225,7 +329,9 @@
     if node.leader.knocking.take() {
         let count = node.leader.knocks.get();
         let value = serde_json::to_value(Knock { count }).unwrap_or_default();
-        let txn = Txn::default().put(knock_key(&node.name), value);
+        let planner = node.follower.cache.borrow().planner.as_ref().map_or(0, |p| p.1);
+        // Carried out late, it must not drive out another planner than the one it is about.
+        let txn = Txn::default().when(PLANNER, planner).put(knock_key(&node.name), value);
         let _ = node.state.txn(Use::Housekeeping, &txn).await;
         tokio::time::sleep(Duration::from_millis(700)).await;
     }
@@ -304,19 +410,23 @@
 async fn plan(node: &Rc<Node>, me: &Current, version: u64, term: u64) -> End {
     let seed = node.random();
     let planner = Planner::new(node.settings.planner_config(), term, seed);
+    let version = Rc::new(Cell::new(version));
     let planning = Planning {
         node,
         planner: Rc::new(RefCell::new(planner)),
         me: me.clone(),
-        version: Rc::new(Cell::new(version)),
+        version: version.clone(),
         claimed: Notify::new(),
     };
+    let incarnation = me.incarnation.clone();
+    *node.leader.tenure.borrow_mut() = Some(Tenure { incarnation, version });
     let types = node.follower.cache.borrow().types.clone();
     if let Some(types) = types {
         planning.planner.borrow_mut().set_types(types);
     }
     tokio::select! {
         end = planning.until_lost() => end,
+        () = planning.until_handed_over() => End::HandedOver,
         () = planning.work() => End::Replaced,
     }
 }
@@ -350,9 +460,16 @@
                 }
             }
         }
+        // What the planners before us claimed last may not be in the copy of the store yet, and
+        // tasks of jobs that nobody knows are stopped.
+        while self.node.follower.cache.borrow().revision() < self.version.get() {
+            let changed = self.node.follower.changed.notified();
+            let _ = tokio::time::timeout(Duration::from_millis(200), changed).await;
+        }
         // The most urgent jobs first: reports of tasks are of little use without their jobs.
         self.claim_round().await;
         self.node.leader.begin(self.planner.clone());
+        self.node.leader.close_all_but(&self.node.follower.cache.borrow().jobs);
         tokio::join!(
             self.claims(),
             settling::run(self.node, &self.planner),
@@ -374,18 +491,9 @@
             if kept.is_none_or(|current| current.incarnation != self.me.incarnation) {
                 return End::LeaseLost;
             }
-            let replaced = {
-                let cache = self.node.follower.cache.borrow();
-                cache.planner.as_ref().is_some_and(|(record, version)| {
-                    record.incarnation != self.me.incarnation && *version > self.version.get()
-                })
-            };
-            if replaced {
+            if self.node.leader.is_replaced(&self.node.follower.cache.borrow()) {
                 return End::Replaced;
             }
-            if self.hand_over().await {
-                return End::HandedOver;
-            }
             tokio::select! {
                 () = changed => {}
                 () = lease => {}
@@ -394,6 +502,14 @@
         }
     }
 
+    /// Beside [`Self::until_lost`], which must see at once that another plans, however long a
+    /// hand-over's transaction takes.
+    async fn until_handed_over(&self) {
+        while !self.hand_over().await {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    }
+
     /// A planner that hears no workers, while they knock at another controller's door, leaves
     /// its place to that one.
     async fn hand_over(&self) -> bool {
@@ -411,11 +527,8 @@
         }
         let successor = {
             let cache = self.node.follower.cache.borrow();
-            let recent = cache.knocks.iter().find(|(name, at)| {
-                **name != self.node.name
-                    && now().saturating_duration_since(**at) < Duration::from_secs(3)
-            });
-            recent.map(|(name, _)| name.clone())
+            let mut recent = cache.knocked_within(Duration::from_secs(3));
+            recent.find(|name| **name != self.node.name).cloned()
         };
         let Some(successor) = successor else {
             return false;
@@ -445,19 +558,17 @@
     /// Closes what is over, and claims what is new or lapsed; true if more may be left.
     async fn claim_round(&self) -> bool {
         let mut due: Vec<(JobRecord, u64)> = Vec::new();
+        self.node.leader.refute_cancelled(&self.node.follower);
         {
             let cache = self.node.follower.cache.borrow();
             let mut planner = self.planner.borrow_mut();
-            for id in planner.live_jobs() {
-                if !cache.jobs.contains_key(&id) {
-                    planner.close_job(&id);
-                }
-            }
+            let is_cancelled = |id: &JobId| self.node.leader.is_cancelled(id);
+            planner.close_all_but(|id| cache.jobs.contains_key(id));
             let unclaimed = cache.jobs.keys().filter(|id| planner.job(id).is_none());
-            let unclaimed = unclaimed.cloned().collect();
+            let unclaimed = unclaimed.filter(|id| !is_cancelled(id)).cloned().collect();
             planner.set_unclaimed(unclaimed);
             let lapsed: HashSet<JobId> = planner.lapsed_jobs().into_iter().collect();
-            for (id, (record, version)) in &cache.jobs {
+            for (id, (record, version)) in cache.jobs.iter().filter(|(id, _)| !is_cancelled(id)) {
                 let known = planner.job(id);
                 let ours = record.owner.as_deref() == Some(self.me.incarnation.as_str());
                 let new = known.is_none_or(|job| *version > job.version && !ours);
@@ -512,8 +623,14 @@
                 false => record.finished.clone(),
             };
             let age = Duration::from_millis(wall_ms().saturating_sub(record.accepted_ms));
+            let id = record.spec.id.clone();
             let mut planner = self.planner.borrow_mut();
             planner.claimed(record, finished, version, age, now());
+            // It may have been cancelled while the claim's answer was under way.
+            let unfinished = self.node.follower.cache.borrow().jobs.contains_key(&id);
+            if !unfinished || self.node.leader.is_cancelled(&id) {
+                planner.close_job(&id);
+            }
         }
         self.claimed.notify_one();
         self.node.leader.want_pass();
@@ -581,8 +698,8 @@
                     }
                 });
             }
-            Action::Record(name, record) => self.record(vec![(name, record)]),
-            Action::Erase(name) => self.erase(vec![name]),
+            // Written in groups by the caller.
+            Action::Record(..) | Action::Erase(..) => {}
         }
     }
 
--- a/crates/corkfield/src/settling.rs
+++ b/crates/corkfield/src/settling.rs
@@ -12,7 +12,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-type Shared = Rc<RefCell<Planner>>;
+/// The planner, shared by all loops that serve it.
+pub type Shared = Rc<RefCell<Planner>>;
 
 /// Transactions under way at once. One after another, each would wait for the loop's turn and for
 /// a slow answer, and with hundreds of jobs their tasks would wait to be announced meanwhile.
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -110,7 +110,7 @@
     };
     // S6: without fresh state a cancellation may have been missed; the machines' leases have
     // to run out while there is time.
-    if node.follower.proof_age() >= node.settings.answer_limit() {
+    if !may_answer(node) {
         tracing::debug!(machine = %report.machine, "no fresh state to answer from");
         return later("no fresh state");
     }
@@ -138,16 +138,23 @@
     }
     // The planner may have changed while the answer was held back.
     let same = node.leader.planner().is_some_and(|p| Rc::ptr_eq(&p, &planner));
-    if !same || node.follower.proof_age() >= node.settings.answer_limit() {
+    if !same || !may_answer(node) {
         return json(421, &Redirect { report_to: planner_elsewhere(node) });
     }
-    let may_start = node.presence.is_valid();
+    let may_start = node.leader.may_start(node);
     let mut planner = planner.borrow_mut();
     let (session, seq) = (report.session, report.seq);
     let orders = planner.orders(&report.machine, session, seq, may_start, now());
     json(200, &ReportReply { term: planner.term(), orders })
 }
 
+/// S6: whether a report may be answered with 200. That rests on state that was fresh a while ago,
+/// and that shows no other planner.
+fn may_answer(node: &Node) -> bool {
+    node.follower.proof_age() < node.settings.answer_limit()
+        && !node.leader.is_replaced(&node.follower.cache.borrow())
+}
+
 /// The planner, if it is another controller that is there.
 fn planner_elsewhere(node: &Node) -> Option<String> {
     let cache = node.follower.cache.borrow();
