Cancellations are told to the other controllers over their link before users hear of them

The store may refuse the planner alone while others confirm cancellations: then it read of them only after the refusal, and went on starting their tasks meanwhile. Whoever committed a cancellation, or reads a committed one, now tells all other controllers, repeats that until it is acknowledged, and waits at most 0.3 s for whoever leads before it answers. The answer limit (S6) stays the foundation and needs no peer. Peer frames have version 2.

Also: a question whose read was under way while the same controller confirmed the job's end is answered with the end.

--- a/crates/corkfield/src/lib.rs
+++ b/crates/corkfield/src/lib.rs
@@ -4,6 +4,7 @@
 mod follow;
 mod leader;
 pub mod node;
+mod notices;
 mod peers;
 mod presence;
 pub mod settings;
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::follow::Follower;
 use crate::leader::Leader;
+use crate::notices::Notices;
 use crate::peers::Peers;
 use crate::presence::Presence;
 use crate::settings::Settings;
@@ -32,6 +33,7 @@
     pub presence: Presence,
     pub leader: Leader,
     pub peers: Peers,
+    pub notices: Notices,
     pub strays: Strays,
 }
 
@@ -111,6 +113,7 @@
         presence: Presence::default(),
         leader: Leader::default(),
         peers: Peers::default(),
+        notices: Notices::default(),
         strays: Strays::default(),
         settings,
     });
--- /dev/null
+++ b/crates/corkfield/src/notices.rs
@@ -0,0 +1,119 @@
+//! Cancellations, told to the other controllers over the link between them.
+//!
+//! The state service may refuse the planner alone while others commit cancellations. What it then
+//! doesn't read it hears here, and stops at once. That comes on top of the answer limit (S6), which
+//! holds with no other controller in reach.
+
+use crate::node::{now, Node};
+use corkfield_wire::peer::Frame;
+use corkfield_wire::JobId;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// A user's answer waits this long for the planner's acknowledgement.
+const WAIT: Duration = Duration::from_millis(300);
+/// Without an acknowledgement a notice is sent again after this time.
+const AGAIN: Duration = Duration::from_millis(500);
+/// Notices that may be open for one controller, and that share a frame.
+const MAX_OPEN: usize = 4096;
+const MAX_JOBS: usize = 256;
+
+/// A notice that was not acknowledged yet.
+struct Open {
+    since: Instant,
+    sent: Option<Instant>,
+}
+
+/// What each of the other controllers has still to acknowledge.
+#[derive(Default)]
+pub struct Notices {
+    open: RefCell<BTreeMap<String, BTreeMap<JobId, Open>>>,
+    added: Notify,
+    acknowledged: Notify,
+}
+
+impl Notices {
+    fn add(&self, peer: &str, id: &JobId) {
+        let mut open = self.open.borrow_mut();
+        let of_peer = open.entry(peer.to_owned()).or_default();
+        if of_peer.len() < MAX_OPEN {
+            of_peer.entry(id.clone()).or_insert(Open { since: now(), sent: None });
+        }
+    }
+
+    fn is_open(&self, peer: &str, id: &JobId) -> bool {
+        self.open.borrow().get(peer).is_some_and(|of_peer| of_peer.contains_key(id))
+    }
+
+    pub fn acknowledged(&self, peer: &str, jobs: &[String]) {
+        if let Some(of_peer) = self.open.borrow_mut().get_mut(peer) {
+            jobs.iter().filter_map(|id| JobId::parse(id)).for_each(|id| {
+                of_peer.remove(&id);
+            });
+        }
+        self.acknowledged.notify_waiters();
+    }
+
+    /// What is to be sent to that controller now. Older notices than `keep` are dropped: by then
+    /// the answer limit has settled the matter.
+    fn due(&self, peer: &str, keep: Duration) -> Vec<String> {
+        let at = now();
+        let mut open = self.open.borrow_mut();
+        let Some(of_peer) = open.get_mut(peer) else { return Vec::new() };
+        of_peer.retain(|_, notice| at.saturating_duration_since(notice.since) < keep);
+        let due = of_peer.iter_mut().filter(|(_, notice)| {
+            notice.sent.is_none_or(|sent| at.saturating_duration_since(sent) >= AGAIN)
+        });
+        let mut jobs = Vec::new();
+        for (id, notice) in due.take(MAX_JOBS) {
+            notice.sent = Some(at);
+            jobs.push(id.to_string());
+        }
+        jobs
+    }
+
+    /// A new link: whatever went over the one before may be lost.
+    pub fn link_opened(&self, peer: &str) {
+        if let Some(of_peer) = self.open.borrow_mut().get_mut(peer) {
+            of_peer.values_mut().for_each(|notice| notice.sent = None);
+        }
+    }
+}
+
+/// Tells all controllers that the state service holds the job as cancelled, and waits a moment for
+/// whoever leads. Called only for what was committed or read here: a cancellation whose commit had
+/// no answer may never come about, and is not told.
+pub async fn tell(node: &Node, id: &JobId) {
+    node.leader.cancelled(id);
+    let peers = &node.settings.platform.peers;
+    peers.iter().for_each(|peer| node.notices.add(&peer.node, id));
+    node.notices.added.notify_waiters();
+    let leaders = node.peers.leaders(node);
+    let all = async {
+        loop {
+            let acknowledged = node.notices.acknowledged.notified();
+            if !leaders.iter().any(|peer| node.notices.is_open(peer, id)) {
+                return;
+            }
+            acknowledged.await;
+        }
+    };
+    let _ = tokio::time::timeout(WAIT, all).await;
+}
+
+/// Sends what is due over a link, for as long as it takes frames.
+pub async fn send(node: &Node, peer: &str, put: impl Fn(Frame) -> bool) {
+    let keep = node.settings.platform.params.workers.cancel();
+    node.notices.link_opened(peer);
+    loop {
+        let added = node.notices.added.notified();
+        let jobs = node.notices.due(peer, keep);
+        if jobs.is_empty() {
+            let _ = tokio::time::timeout(AGAIN, added).await;
+        } else if !put(Frame::Cancelled { jobs }) {
+            return;
+        }
+    }
+}
--- a/crates/corkfield/src/peers.rs
+++ b/crates/corkfield/src/peers.rs
@@ -1,9 +1,10 @@
 //! The link between controllers: greetings, and reports of workers that can't reach the planner.
 
 use crate::node::{now, Node};
-use crate::workers;
+use crate::{notices, workers};
 use corkfield_http::{Listener, Response, Stream};
 use corkfield_wire::peer::{Frame, Hello, MAX_FRAME};
+use corkfield_wire::JobId;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -47,6 +48,20 @@
         self.heard.borrow().values().any(|(hello, at)| hello.store_ok && recent(at))
     }
 
+    /// Other controllers that say they lead, or that the state service names as planner, and that
+    /// there is a link to.
+    pub fn leaders(&self, node: &Node) -> Vec<String> {
+        let cache = node.follower.cache.borrow();
+        let planner = cache.planner.as_ref().and_then(|(record, _)| record.node.as_ref());
+        let recent = |at: &Instant| now().saturating_duration_since(*at) < SILENCE;
+        let heard = self.heard.borrow();
+        let leading = |name: &String| {
+            planner == Some(name)
+                || heard.get(name).is_some_and(|(hello, at)| hello.leading && recent(at))
+        };
+        self.links.borrow().keys().filter(|name| leading(name)).cloned().collect()
+    }
+
     /// Passes a report on to the planner, and brings its answer. It is the planner's own
     /// answer, under its term; a worker counts its lease from when it sent the report, so the
     /// way round makes no lease longer, and it drops an answer that comes too late.
@@ -108,7 +123,12 @@
                         let _ = answers.try_send(Frame::Answer { number, status, body });
                     });
                 }
-                Frame::Answer { .. } => return,
+                Frame::Cancelled { jobs } => {
+                    let known: Vec<JobId> = jobs.iter().filter_map(|id| JobId::parse(id)).collect();
+                    known.iter().for_each(|id| node.leader.cancelled(id));
+                    let _ = answers.try_send(Frame::Acknowledged { jobs });
+                }
+                Frame::Answer { .. } | Frame::Acknowledged { .. } => return,
             }
         }
     };
@@ -132,13 +152,18 @@
             };
             let reading = async {
                 while let Ok(Some(frame)) = read_frame(&mut reader).await {
-                    if let Frame::Answer { number, status, body } = frame {
-                        node.peers.answered(number, Response::new(status, body));
+                    match frame {
+                        Frame::Answer { number, status, body } => {
+                            node.peers.answered(number, Response::new(status, body));
+                        }
+                        Frame::Acknowledged { jobs } => node.notices.acknowledged(&peer, &jobs),
+                        Frame::Hello(_) | Frame::Report { .. } | Frame::Cancelled { .. } => break,
                     }
                 }
             };
             tokio::select! {
                 () = greeting => {}
+                () = notices::send(&node, &peer, |frame| frames.try_send(frame).is_ok()) => {}
                 () = reading => {}
                 () = write_frames(writer, waiting) => {}
             }
@@ -180,6 +205,7 @@
     Hello {
         node: node.name.clone(),
         incarnation: node.presence.current().map(|c| c.incarnation).unwrap_or_default(),
+        leading: node.leader.is_leading(),
         store_ok: node.follower.proof_age() < SILENCE,
         planner: planner.and_then(|p| p.node.clone()),
         term: planner.map_or(0, |p| p.term),
--- a/crates/corkfield/src/users.rs
+++ b/crates/corkfield/src/users.rs
@@ -1,6 +1,7 @@
 //! Answers to users. Only what is stored is answered (S1).
 
 use crate::node::{error, json, later, wall_ms, Node};
+use crate::notices;
 use corkfield_core::fits_some_type;
 use corkfield_http::Response;
 use corkfield_state::{StateError, Use};
@@ -29,8 +30,15 @@
     if !node.follower.refresh(QUERY_LIMIT).await {
         return Err(());
     }
-    if let Some((record, version)) = node.follower.cache.borrow().jobs.get(id).cloned() {
-        return Ok(Found::Live(Box::new(record), version));
+    {
+        let cache = node.follower.cache.borrow();
+        // Another request may have been answered with it while this one's read was under way.
+        if let Some(record) = cache.known_final(id) {
+            return Ok(Found::Final(record));
+        }
+        if let Some((record, version)) = cache.jobs.get(id).cloned() {
+            return Ok(Found::Live(Box::new(record), version));
+        }
     }
     // Jobs that are over are not followed. One that is neither unfinished nor over now was
     // never accepted: final records are written in the transaction that drops the others.
@@ -39,10 +47,19 @@
         return Ok(Found::Nothing);
     };
     let record: FinalRecord = serde_json::from_value(item.value).map_err(|_| ())?;
-    node.follower.cache.borrow_mut().note_final(id, record.clone());
+    learned(node, id, &record).await;
     Ok(Found::Final(record))
 }
 
+/// The store surely holds this final state: it was read there, or committed. Before a user hears
+/// of a cancellation, whoever leads hears of it too, even if the store refuses it.
+async fn learned(node: &Node, id: &JobId, record: &FinalRecord) {
+    if record.status == JobStatus::Cancelled {
+        notices::tell(node, id).await;
+    }
+    node.follower.cache.borrow_mut().note_final(id, record.clone());
+}
+
 fn view(id: &JobId, status: JobStatus, done: u32, running: u32) -> JobView {
     JobView { id: id.clone(), status, done: Some(done), running: Some(running) }
 }
@@ -154,7 +171,7 @@
             match node.state.txn(Use::Claim, &txn).await {
                 Ok(_) => {
                     tracing::debug!(job = %id, "cancelled");
-                    node.follower.cache.borrow_mut().note_final(id, over.clone());
+                    learned(node, id, &over).await;
                     return json(200, &view(id, over.status, over.done, 0));
                 }
                 Err(
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,7 +2,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// No frame may be longer.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -11,6 +11,8 @@
 pub struct Hello {
     pub node: String,
     pub incarnation: String,
+    /// It plans, or takes itself for the planner.
+    pub leading: bool,
     /// The state service answered this controller a moment ago.
     pub store_ok: bool,
     /// The planner that it knows of, and that planner's term.
@@ -32,6 +34,14 @@
         status: u16,
         body: Vec<u8>,
     },
+    /// The state service holds these jobs as cancelled: the sender committed that, or read it.
+    Cancelled {
+        jobs: Vec<String>,
+    },
+    /// That was heard.
+    Acknowledged {
+        jobs: Vec<String>,
+    },
 }
 
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
@@ -64,17 +74,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn frames_survive_a_round_trip_and_nonsense_is_refused() {
-        let frame = Frame::Answer { number: 7, status: 200, body: b"{}".to_vec() };
-        let bytes = frame.encode();
-        assert_eq!(usize::from(bytes[0]), bytes.len() - 4);
-        assert_eq!(Frame::decode(&bytes[4..]), Ok(frame));
-        assert_eq!(Frame::decode(&[9, 0]), Err(FrameError::Version(9)));
-        assert_eq!(Frame::decode(&[VERSION, 250, 1]), Err(FrameError::Malformed));
-        assert_eq!(Frame::decode(&[]), Err(FrameError::Malformed));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/wire/src/settings/tests.rs
@@ -0,0 +1,19 @@
+use super::*;
+
+const LEAST: &str = "node_name = \"n\"\ndomain = \"z\"\nclient_listen = \"10.0.0.1:1\"\nback = \"10.0.0.1:2\"\n\
+    new_field = [1, 2]\n[endpoints]\ncloud = \"10.0.0.2:1\"\nstate = \"10.0.0.2:2\"\n[settings]\nsize = 7\n\
+    [settings.workers]\nreport_s = 9.0\nlease_s = 40.0\ncancel_s = 70.0\n";
+
+#[test]
+fn limits_that_are_missing_or_zero_get_defaults_and_wrong_ones_are_named() {
+    let zero = format!("{LEAST}[settings.state]\nrps = 0.0\n[settings.cloud]\nrps = 0.0\n");
+    for text in [LEAST, &zero] {
+        let params = Platform::parse(text).expect("valid").params;
+        assert!(params.state.rps > 0.0 && params.state.write_rps > 0.0);
+        assert!(params.state.value_kb >= 8.0 && params.state.txn_ops >= 4);
+        assert!(params.cloud.rps > 0.0 && params.size == 7);
+    }
+    let wrong = format!("{LEAST}[settings.state]\nrps = -1.0\n");
+    let error = Platform::parse(&wrong).expect_err("negative").to_string();
+    assert!(error.contains("settings.state.rps"), "{error}");
+}
