Stories of meetings of troubles; fakes for standing still, muteness, dropped requests, places

The gap (the store refuses the planner alone, others confirm cancellations, the store is down for all) with one and two tasks, refused and held back, the link between controllers open and cut, hung machines among them; changes of planners, machines that can't be asked, late messages, users' requests at the end of a job. The ledger now checks zones and kinds of machines, answers that go back, and counts starts after a confirmed cancellation.

a_planner_whose_lease_may_have_ended_starts_nothing asserted that starts go on for 6 s after the store refuses the planner. That is no longer wanted (start_proof_s). The story now sets that to 60 s and asserts what it did before; without_a_young_proof_nothing_is_started is the counterpart.

--- /dev/null
+++ b/crates/corkfield/tests/meetings/gap.rs
@@ -0,0 +1,271 @@
+//! Cancellations that the planner can't read: the store refuses it alone, others confirm them, and
+//! then the store is down for all for longer than a cancellation may take.
+
+use crate::world::{secs, spec, story, task, World, CANCEL_S, LEASE_S, NODES};
+use corkfield_fakes::Fault;
+use corkfield_wire::peer::Frame;
+use corkfield_wire::store::PATH_TXN;
+use corkfield_wire::user::{PATH_CANCEL, PATH_JOBS};
+use corkfield_wire::worker::PATH_COMMANDS;
+use corkfield_wire::JobStatus;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+#[derive(Clone, Copy)]
+struct Gap {
+    tasks: u32,
+    /// The planner reaches no other controller either.
+    parted: bool,
+    /// The store does not refuse the planner: what is between them is held back.
+    held: bool,
+    /// A machine with a task of the job stands still, within its lease.
+    hung_s: f64,
+    /// From the refusal to the cancellation, and from there to the outage.
+    before_s: f64,
+    after_s: f64,
+}
+
+const PLAIN: Gap =
+    Gap { tasks: 1, parted: false, held: false, hung_s: 0.0, before_s: 0.4, after_s: 1.0 };
+
+async fn meet(world: Rc<World>, gap: Gap) {
+    let (job, stream) = (spec(1, gap.tasks), spec(2, 300));
+    world.submit(&job, 400.0).await;
+    // Starts go on all the time.
+    world.submit(&stream, 0.7).await;
+    secs(5.0).await;
+    let planner = world.planner_node();
+    if gap.parted {
+        world.part(planner, true);
+    }
+    match gap.held {
+        true => world.net.cut(NODES[planner], "state"),
+        false => world.refused[planner].set(true),
+    }
+    secs(gap.before_s).await;
+    if gap.hung_s > 0.0 {
+        let worker = world.worker_of(&task(&job, 0));
+        worker.set_hung(true);
+        tokio::task::spawn_local(async move {
+            secs(gap.hung_s).await;
+            worker.set_hung(false);
+        });
+    }
+    let (other, confirmed) = (world.others(planner)[0], tokio::time::Instant::now());
+    for id in [&job.id, &stream.id] {
+        world.cancel_at(other, id).await;
+    }
+    secs(gap.after_s).await;
+    world.store.set_down(true);
+    if !gap.parted && gap.hung_s == 0.0 {
+        secs(4.0).await;
+        assert_eq!(world.ledger.running(&job.id), 0, "the planner heard of it by another way");
+        assert_eq!(world.ledger.late_starts(), 0, "and started nothing more");
+    }
+    secs(CANCEL_S - confirmed.elapsed().as_secs_f64() - 0.1).await;
+    for job in [&job, &stream] {
+        assert_eq!(world.ledger.running(&job.id), 0, "S6 holds with nobody to be reached");
+    }
+    secs(20.0).await;
+    world.store.set_down(false);
+    world.refused[planner].set(false);
+    world.net.heal(NODES[planner], "state");
+    world.part(planner, false);
+    for id in [&job.id, &stream.id] {
+        assert_eq!(world.status(id).await, Some(JobStatus::Cancelled));
+    }
+    let next = spec(3, 6);
+    world.submit(&next, 2.0).await;
+    world.until_done(&next.id, 90.0).await;
+}
+
+#[test]
+fn what_was_cancelled_is_gone_in_time_though_the_planner_never_reads_of_it() {
+    for parted in [false, true] {
+        for held in [false, true] {
+            for (tasks, before_s, after_s) in [(1, 0.4, 1.0), (2, 0.0, 0.2), (2, 3.0, 3.0)] {
+                let gap = Gap { tasks, parted, held, before_s, after_s, ..PLAIN };
+                story(3, |world| meet(world, gap));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_machine_that_hangs_in_the_gap_drops_what_was_cancelled_when_it_goes_on() {
+    for parted in [false, true] {
+        for hung_s in [3.0, LEASE_S - 2.5, LEASE_S + 4.0] {
+            let gap = Gap { tasks: 2, parted, hung_s, ..PLAIN };
+            story(3, |world| meet(world, gap));
+        }
+    }
+}
+
+#[test]
+fn without_a_young_proof_nothing_is_started() {
+    story(2, |world| async move {
+        let stream = spec(1, 600);
+        world.submit(&stream, 0.5).await;
+        secs(5.0).await;
+        let planner = world.planner_node();
+        world.part(planner, true);
+        world.refused[planner].set(true);
+        secs(1.6).await;
+        let starts = world.ledger.starts_in_all();
+        secs(4.0).await;
+        // What was ordered by then may have been fetching.
+        assert!(world.ledger.starts_in_all() <= starts + 16, "its lease goes on, but no start");
+        world.refused[planner].set(false);
+        world.part(planner, false);
+        world.until_done(&stream.id, 120.0).await;
+    });
+}
+
+#[test]
+fn closing_what_is_cancelled_waits_for_no_claim_and_no_read() {
+    story(3, |world| async move {
+        // Claiming this one reads its finished tasks, and that never succeeds.
+        let mut huge = spec(1, 2000);
+        huge.cpus = 0.1;
+        world.submit(&huge, 1.0).await;
+        let job = spec(2, 4);
+        world.submit(&job, 200.0).await;
+        secs(6.0).await;
+        world.store.set_faults(|request| {
+            let stuck = request.target.contains("prefix=d/");
+            if stuck {
+                Fault::Drop
+            } else {
+                Fault::None
+            }
+        });
+        let planner = world.planner_node();
+        world.restart(planner, 0.2).await;
+        secs(12.0).await;
+        let planner = world.planner_node();
+        world.cancel_at(planner, &job.id).await;
+        secs(3.0).await;
+        assert_eq!(world.ledger.running(&job.id), 0);
+        world.store.clear_faults();
+    });
+}
+
+#[test]
+fn a_cancellation_whose_commit_has_no_answer_is_told_to_nobody() {
+    story(2, |world| async move {
+        let job = spec(1, 4);
+        world.submit(&job, 25.0).await;
+        secs(5.0).await;
+        world.store.set_faults(|request| {
+            let ends = request.path() == PATH_TXN
+                && String::from_utf8_lossy(&request.body).contains("aborted");
+            if ends {
+                Fault::Drop
+            } else {
+                Fault::None
+            }
+        });
+        let other = world.others(world.planner_node())[0];
+        let path = format!("{PATH_JOBS}/{}/{PATH_CANCEL}", job.id);
+        let (status, _) = world.ask(other, "POST", &path, b"").await.expect("an answer");
+        assert_eq!(status, 503);
+        secs(3.0).await;
+        assert_eq!(world.ledger.running(&job.id), 4, "nothing was stopped for it");
+        world.store.clear_faults();
+        world.until_done(&job.id, 60.0).await;
+        assert_eq!(world.ledger.starts_in_all(), 4);
+    });
+}
+
+/// Speaks to the peer port of a controller as another one would.
+async fn say(world: &World, n: usize, bytes: &[u8]) -> Option<Frame> {
+    let addr = SocketAddr::from(([10, 0, 0, n as u8 + 1], 8081));
+    let host: Rc<dyn corkfield_http::Network> = world.net.host("stranger");
+    let mut stream = host.connect(addr).await.ok()?;
+    stream.write_all(bytes).await.ok()?;
+    let answer = async {
+        let length = stream.read_u32_le().await.ok()?;
+        let mut bytes = vec![0; length as usize];
+        stream.read_exact(&mut bytes).await.ok()?;
+        Frame::decode(&bytes).ok()
+    };
+    tokio::time::timeout(std::time::Duration::from_secs(2), answer).await.ok()?
+}
+
+#[test]
+fn notices_that_are_wrong_or_nonsense_change_no_answer_and_no_job_is_lost_by_them() {
+    story(2, |world| async move {
+        let job = spec(1, 6);
+        world.submit(&job, 6.0).await;
+        secs(4.0).await;
+        let planner = world.planner_node();
+        for nonsense in [&[1, 0, 0, 0, 9][..], &[3, 0, 0, 0, 2, 200, 1], &[255; 64], &[0; 4]] {
+            assert_eq!(say(&world, planner, nonsense).await, None);
+        }
+        let odd = ["", "nonsense", "j-424242", "c/planner"].map(str::to_owned).to_vec();
+        let frame = Frame::Cancelled { jobs: odd.clone() };
+        let answer = say(&world, planner, &frame.encode()).await;
+        assert_eq!(answer, Some(Frame::Acknowledged { jobs: odd }));
+        assert_eq!(world.ledger.running(&job.id), 6, "nothing came of it");
+        // A notice of a job that the store has as unfinished: a fault elsewhere. It is run again.
+        let frame = Frame::Cancelled { jobs: vec![job.id.to_string()] };
+        for n in 0..NODES.len() {
+            assert!(say(&world, n, &frame.encode()).await.is_some());
+            assert_ne!(world.ask_about(n, &job.id, None).await, Some(JobStatus::Cancelled));
+        }
+        let unknown = world.ask(planner, "GET", "/submissions/j-424242", b"").await;
+        assert_eq!(unknown.map(|r| r.0), Some(404));
+        world.until_done(&job.id, 60.0).await;
+    });
+}
+
+#[test]
+fn a_notice_that_comes_before_the_claims_answer_is_kept() {
+    story(2, |world| async move {
+        // Claims take long to be answered; the job is cancelled meanwhile, and the planner's copy
+        // of the store stays behind.
+        world.store.set_faults(|request| {
+            let body = String::from_utf8_lossy(&request.body);
+            if request.path() == PATH_TXN && body.contains("\"owner\":\"n") {
+                Fault::Slow(1.2)
+            } else {
+                Fault::None
+            }
+        });
+        let planner = world.planner_node();
+        let other = world.others(planner)[0];
+        for number in 1..6 {
+            let job = spec(number, 4);
+            world.submit(&job, 30.0).await;
+            secs(0.3 * f64::from(number)).await;
+            world.refused[planner].set(true);
+            world.cancel_at(other, &job.id).await;
+            secs(1.5).await;
+            world.refused[planner].set(false);
+            secs(1.0).await;
+            assert_eq!(world.ledger.running(&job.id), 0);
+        }
+        assert_eq!(world.ledger.late_starts(), 0);
+    });
+}
+
+#[test]
+fn stops_that_are_held_up_on_the_way_are_repeated_until_the_tasks_are_gone() {
+    story(2, |world| async move {
+        let job = spec(1, 8);
+        world.submit(&job, 300.0).await;
+        secs(5.0).await;
+        let planner = world.planner_node();
+        let worker = world.worker_of(&task(&job, 0));
+        // Direct orders to it are lost with the connection; its reports go by another controller.
+        let name = worker.settings.name.clone();
+        world.net.cut(NODES[planner], &name);
+        secs(1.0).await;
+        world.cancel_at(world.others(planner)[0], &job.id).await;
+        secs(LEASE_S + 2.0).await;
+        assert_eq!(world.ledger.running(&job.id), 0, "{PATH_COMMANDS} is not the only way");
+        world.net.heal(NODES[planner], &name);
+        secs(5.0).await;
+    });
+}
--- /dev/null
+++ b/crates/corkfield/tests/meetings/leaders.rs
@@ -0,0 +1,257 @@
+//! Changes of the planner, and what meets them.
+
+use crate::world::{secs, spec, story, task, LEASE_S, NODES};
+use corkfield_wire::JobStatus;
+
+#[test]
+fn ten_changes_of_the_planner_in_two_minutes_lose_and_double_nothing() {
+    for outage in [false, true] {
+        story(3, |world| async move {
+            let jobs: Vec<_> = (1..=4).map(|n| spec(n, 12)).collect();
+            for job in &jobs {
+                world.submit(job, 40.0).await;
+            }
+            let doomed = spec(9, 6);
+            world.submit(&doomed, 300.0).await;
+            for round in 0..10 {
+                if outage && round == 4 {
+                    world.store.set_down(true);
+                }
+                let planner = world.planner_node();
+                world.restart(planner, 0.1 + f64::from(round % 3)).await;
+                secs(if outage { 4.0 } else { 9.0 }).await;
+                if round == 2 {
+                    world.cancel(&doomed.id).await;
+                }
+                if outage && round == 7 {
+                    world.store.set_down(false);
+                    secs(4.0).await;
+                }
+            }
+            for job in &jobs {
+                world.until_done(&job.id, 200.0).await;
+            }
+            assert_eq!(world.ledger.running(&doomed.id), 0);
+        });
+    }
+}
+
+#[test]
+fn a_planner_that_ends_leaves_long_tasks_where_they_can_not_be_asked() {
+    // Cut off, hearing nothing, or heard by nobody, while planners change.
+    for kind in 0..3 {
+        for after in [1.0, LEASE_S - 3.0, LEASE_S + 6.0] {
+            story(3, |world| async move {
+                let job = spec(1, 20);
+                world.submit(&job, 30.0).await;
+                secs(5.0).await;
+                let worker = world.worker_of(&task(&job, 0));
+                let name = worker.settings.name.clone();
+                // It can't be returned either.
+                world.cloud.down.set(true);
+                match kind {
+                    0 => world.net.cut(&name, "*"),
+                    1 => worker.deaf.set(true),
+                    _ => worker.mute.set(true),
+                }
+                secs(0.7).await;
+                let planner = world.planner_node();
+                world.restart(planner, 0.5).await;
+                secs(after).await;
+                match kind {
+                    0 => world.net.heal(&name, "*"),
+                    1 => worker.deaf.set(false),
+                    _ => worker.mute.set(false),
+                }
+                world.cloud.down.set(false);
+                world.until_done(&job.id, 150.0).await;
+            });
+        }
+    }
+}
+
+#[test]
+fn a_planner_alone_with_its_workers_tells_no_user_anything_old() {
+    for hung in [false, true] {
+        story(3, |world| async move {
+            let (kept, doomed) = (spec(1, 8), spec(2, 8));
+            world.submit(&kept, 40.0).await;
+            world.submit(&doomed, 300.0).await;
+            secs(5.0).await;
+            let old = world.planner_node();
+            world.net.cut(NODES[old], "state");
+            world.part(old, true);
+            secs(LEASE_S).await;
+            let new = world.planner_node();
+            assert_ne!(new, old);
+            if hung {
+                let worker = world.worker_of(&task(&doomed, 0));
+                worker.set_hung(true);
+                tokio::task::spawn_local(async move {
+                    secs(LEASE_S - 3.0).await;
+                    worker.set_hung(false);
+                });
+            }
+            world.cancel_at(new, &doomed.id).await;
+            for _ in 0..20 {
+                let told = world.ask_about(old, &doomed.id, None).await;
+                assert_eq!(told, None, "no answer without the store");
+                secs(1.0).await;
+            }
+            assert_eq!(world.ledger.running(&doomed.id), 0);
+            world.net.heal(NODES[old], "state");
+            world.part(old, false);
+            world.until_done(&kept.id, 120.0).await;
+            assert_eq!(world.ask_about(old, &doomed.id, None).await, Some(JobStatus::Cancelled));
+        });
+    }
+}
+
+#[test]
+fn all_controllers_away_for_longer_than_a_lease_lose_work_but_no_job() {
+    for away in [LEASE_S - 2.0, LEASE_S + 3.0, 75.0] {
+        story(3, |world| async move {
+            let (job, doomed) = (spec(1, 20), spec(2, 3));
+            world.submit(&job, 10.0).await;
+            world.submit(&doomed, 300.0).await;
+            secs(5.0).await;
+            world.cancel(&doomed.id).await;
+            (0..NODES.len()).for_each(|n| world.kill(n));
+            secs(away).await;
+            (0..NODES.len()).for_each(|n| world.start(n));
+            secs(12.0).await;
+            assert_eq!(world.ledger.running(&doomed.id), 0);
+            world.until_done(&job.id, 90.0).await;
+            assert_eq!(world.status(&doomed.id).await, Some(JobStatus::Cancelled));
+        });
+    }
+}
+
+#[test]
+fn a_planner_that_stands_still_while_clocks_run_on_does_no_harm_when_it_goes_on() {
+    for still in [3.0, 9.5, 11.0, LEASE_S + 2.0, 70.0] {
+        story(3, |world| async move {
+            let (job, stream, doomed) = (spec(1, 10), spec(2, 200), spec(3, 4));
+            world.submit(&job, 25.0).await;
+            world.submit(&doomed, 300.0).await;
+            world.submit(&stream, 0.8).await;
+            secs(5.0).await;
+            let planner = world.planner_node();
+            let cancelling = {
+                let (world, id) = (world.clone(), doomed.id.clone());
+                tokio::task::spawn_local(async move {
+                    secs(1.0).await;
+                    world.cancel_at(world.others(planner)[0], &id).await;
+                })
+            };
+            world.freeze(planner, still).await;
+            cancelling.await.expect("it is cancelled");
+            // It wakes to orders, transactions and reports that are long over.
+            secs(LEASE_S + 6.0).await;
+            assert_eq!(world.ledger.running(&doomed.id), 0);
+            for job in [&job, &stream] {
+                world.until_done(&job.id, 150.0).await;
+            }
+        });
+    }
+}
+
+#[test]
+fn a_zone_with_a_controller_that_is_cut_off_goes_on_or_lapses_and_doubles_nothing() {
+    for planner_inside in [true, false] {
+        for long in [LEASE_S - 4.0, LEASE_S + 8.0] {
+            story(4, |world| async move {
+                let (job, doomed) = (spec(1, 20), spec(2, 6));
+                world.submit(&job, 30.0).await;
+                world.submit(&doomed, 300.0).await;
+                secs(5.0).await;
+                let planner = world.planner_node();
+                let inside = if planner_inside { planner } else { world.others(planner)[0] };
+                let workers = world.cloud.workers();
+                let (near, far): (Vec<_>, Vec<_>) =
+                    workers.iter().partition(|worker| worker.settings.zone == "z1");
+                let cuts = || {
+                    let outside = ["state", "cloud", "user"].into_iter().map(str::to_owned);
+                    let outside = outside.chain(far.iter().map(|w| w.settings.name.clone()));
+                    let others = world.others(inside).into_iter().map(|n| NODES[n].to_owned());
+                    let outside: Vec<String> = outside.chain(others).collect();
+                    let within = near.iter().map(|w| w.settings.name.clone());
+                    let within: Vec<String> = within.chain([NODES[inside].to_owned()]).collect();
+                    within
+                        .into_iter()
+                        .flat_map(move |a| outside.clone().into_iter().map(move |b| (a.clone(), b)))
+                };
+                cuts().for_each(|(a, b)| world.net.cut(&a, &b));
+                secs(2.0).await;
+                world.cancel_at(world.others(inside)[0], &doomed.id).await;
+                secs(long).await;
+                cuts().for_each(|(a, b)| world.net.heal(&a, &b));
+                secs(LEASE_S).await;
+                assert_eq!(world.ledger.running(&doomed.id), 0);
+                world.until_done(&job.id, 150.0).await;
+            });
+        }
+    }
+}
+
+#[test]
+fn planners_hand_over_and_back_and_one_returns_within_an_instant() {
+    for back in [0.05, 0.6, 4.0] {
+        story(2, |world| async move {
+            let job = spec(1, 14);
+            world.submit(&job, 70.0).await;
+            secs(5.0).await;
+            let machines: Vec<String> =
+                world.cloud.workers().iter().map(|w| w.settings.name.clone()).collect();
+            // Twice the workers lose their planner.
+            for _ in 0..2 {
+                let planner = world.planner_node();
+                machines.iter().for_each(|machine| world.net.cut(NODES[planner], machine));
+                secs(LEASE_S).await;
+                assert_ne!(world.planner_node(), planner);
+                machines.iter().for_each(|machine| world.net.heal(NODES[planner], machine));
+                secs(2.0).await;
+            }
+            let last = world.planner_node();
+            (0..NODES.len()).for_each(|n| world.kill(n));
+            secs(back).await;
+            world.start(last);
+            secs(6.0).await;
+            world.others(last).into_iter().for_each(|n| world.start(n));
+            world.until_done(&job.id, 150.0).await;
+            for index in 0..14 {
+                assert_eq!(world.ledger.started(&task(&job, index)), 1, "no lease ran out");
+            }
+        });
+    }
+}
+
+#[test]
+fn tasks_that_end_far_apart_across_changes_of_the_planner_are_each_counted_once() {
+    for seed in 0..4u32 {
+        story(1, |world| async move {
+            // Two or three tasks that run one after the other.
+            let jobs: Vec<_> = (1..=3)
+                .map(|n| {
+                    let mut job = spec(n, 1 + n.min(2));
+                    job.cpus = 5.0;
+                    job
+                })
+                .collect();
+            for job in &jobs {
+                world.submit(job, 7.0).await;
+            }
+            for round in 0..6u32 {
+                secs(4.0 + f64::from((seed * 7 + round * 5) % 6)).await;
+                let planner = world.planner_node();
+                world.restart(planner, 0.1 * f64::from(round)).await;
+            }
+            for job in &jobs {
+                world.until_done(&job.id, 120.0).await;
+                for index in 0..job.tasks {
+                    assert_eq!(world.ledger.started(&task(job, index)), 1);
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/corkfield/tests/meetings/messages.rs
@@ -0,0 +1,124 @@
+//! Messages that arrive late: reports, transactions.
+
+use crate::world::{secs, spec, story, task, LEASE_S, NODES};
+use corkfield_fakes::Fault;
+use corkfield_wire::store::PATH_TXN;
+use corkfield_wire::worker::PATH_REPORT;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cell::RefCell;
+
+#[test]
+fn a_report_held_back_until_a_new_planner_has_acted_proves_nothing() {
+    for held_s in [3.0, 9.0, 16.0, 30.0, 45.0] {
+        story(3, |world| async move {
+            let job = spec(1, 20);
+            world.submit(&job, 14.0).await;
+            secs(5.0).await;
+            let worker = world.worker_of(&task(&job, 0));
+            let name = worker.settings.name.clone();
+            world.cloud.down.set(true);
+            // Its reports to each controller are under way when the planner ends.
+            for node in NODES {
+                world.net.cut(&name, node);
+            }
+            secs(1.0).await;
+            let planner = world.planner_node();
+            world.restart(planner, 0.4).await;
+            secs(held_s).await;
+            for node in NODES {
+                world.net.heal(&name, node);
+            }
+            world.cloud.down.set(false);
+            world.until_done(&job.id, 150.0).await;
+        });
+    }
+}
+
+#[test]
+fn old_reports_after_newer_ones_lose_no_task_and_start_none_twice() {
+    for seed in 0..3 {
+        story(3, |world| async move {
+            let mut rng = SmallRng::seed_from_u64(seed);
+            let jobs: Vec<_> = (1..=3).map(|n| spec(n, 30)).collect();
+            for job in &jobs {
+                world.submit(job, 3.0).await;
+            }
+            for round in 0..160 {
+                secs(0.25).await;
+                let workers = world.cloud.workers();
+                let worker = &workers[rng.random_range(0..workers.len())];
+                // Of this session, of an earlier one, of an earlier attempt.
+                let sent = worker.sent_reports();
+                if let Some(copy) = sent.get(rng.random_range(0..sent.len().max(1))) {
+                    let n = rng.random_range(0..NODES.len());
+                    world.ask(n, "POST", PATH_REPORT, copy).await;
+                }
+                match round {
+                    40 => {
+                        // A session ends: its machine stands still for too long.
+                        let hung = worker.clone();
+                        hung.set_hung(true);
+                        tokio::task::spawn_local(async move {
+                            secs(LEASE_S + 1.0).await;
+                            hung.set_hung(false);
+                        });
+                    }
+                    90 => {
+                        let planner = world.planner_node();
+                        world.restart(planner, 0.2).await;
+                    }
+                    _ => {}
+                }
+            }
+            for job in &jobs {
+                world.until_done(&job.id, 120.0).await;
+            }
+        });
+    }
+}
+
+#[test]
+fn transactions_carried_out_after_newer_ones_of_the_same_controller_do_no_harm() {
+    for seed in 0..5 {
+        story(3, |world| async move {
+            let rng = RefCell::new(SmallRng::seed_from_u64(seed));
+            world.store.set_faults(move |request| {
+                let mut rng = rng.borrow_mut();
+                if request.path() == PATH_TXN && rng.random_bool(0.2) {
+                    Fault::Late(rng.random_range(2.0..12.0))
+                } else {
+                    Fault::None
+                }
+            });
+            let jobs: Vec<_> = (1..=6).map(|n| spec(n, 10)).collect();
+            for job in &jobs {
+                world.submit(job, 4.0).await;
+            }
+            let doomed = spec(9, 6);
+            world.submit(&doomed, 300.0).await;
+            // A hand-over, a crash and a cancellation among them.
+            let planner = world.planner_node();
+            let machines: Vec<String> =
+                world.cloud.workers().iter().map(|w| w.settings.name.clone()).collect();
+            machines.iter().for_each(|machine| world.net.cut(NODES[planner], machine));
+            secs(LEASE_S - 1.0).await;
+            machines.iter().for_each(|machine| world.net.heal(NODES[planner], machine));
+            world.cancel(&doomed.id).await;
+            let planner = world.planner_node();
+            world.restart(planner, 0.3).await;
+            for job in &jobs {
+                world.until_done(&job.id, 250.0).await;
+            }
+            world.store.clear_faults();
+            secs(14.0).await;
+            assert_eq!(world.ledger.running(&doomed.id), 0);
+            for job in &jobs {
+                world.until_done(&job.id, 5.0).await;
+            }
+            let last = spec(20, 4);
+            world.submit(&last, 2.0).await;
+            world.until_done(&last.id, 30.0).await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/corkfield/tests/meetings/mod.rs
@@ -0,0 +1,6 @@
+//! Where two troubles meet. `docs/meetings.md` lists the meetings and their stories.
+
+mod gap;
+mod leaders;
+mod messages;
+mod users;
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -2,15 +2,17 @@
 
 mod doubts;
 mod fleet;
+mod meetings;
 mod world;
 
+use corkfield::settings::Operator;
 use corkfield_fakes::{Fault, Plan};
 use corkfield_wire::records::{final_key, job_key, machine_key};
 use corkfield_wire::store::PATH_TXN;
 use corkfield_wire::user::{JobView, PATH_JOBS, PATH_READY};
 use corkfield_wire::{JobStatus, Priority};
 use std::cell::Cell;
-use world::{secs, spec, story, task, CANCEL_S, LEASE_S, NODES};
+use world::{secs, spec, story, story_under, task, CANCEL_S, LEASE_S, NODES};
 
 #[test]
 fn jobs_are_run_and_done_and_stay_done() {
@@ -219,7 +221,9 @@
 
 #[test]
 fn a_planner_whose_lease_may_have_ended_starts_nothing() {
-    story(2, |world| async move {
+    // The lease alone: starts need no younger proof of fresh state than it gives.
+    let operator = Operator { start_proof_s: 60.0, ..Operator::default() };
+    story_under(operator, 2, |world| async move {
         let job = spec(1, 400);
         world.submit(&job, 1.0).await;
         secs(5.0).await;
--- a/crates/corkfield/tests/world/mod.rs
+++ b/crates/corkfield/tests/world/mod.rs
@@ -2,7 +2,9 @@
 
 use corkfield::node;
 use corkfield::settings::{Operator, Settings};
-use corkfield_fakes::{FakeCloud, FakeStore, Ledger, MemoryNet, Plan, WorkerSettings};
+use corkfield_fakes::{
+    FakeCloud, FakeStore, FakeWorker, Freezer, Ledger, MemoryNet, Plan, Process, WorkerSettings,
+};
 use corkfield_http::Client;
 use corkfield_wire::cloud::MachineType;
 use corkfield_wire::records::{job_key, JobRecord, PlannerRecord, PLANNER};
@@ -13,7 +15,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::task::{JoinHandle, LocalSet};
 
 pub const NODES: [&str; 3] = ["n0", "n1", "n2"];
@@ -31,20 +33,24 @@
 
 const SMALL: Grants = Grants { state_rps: 200.0, write_rps: 90.0, cloud_rps: 5.0, sockets: 500 };
 
+/// A controller's process.
+type Running = (JoinHandle<()>, Freezer);
+
 pub struct World {
     grants: Grants,
+    operator: Operator,
     pub net: MemoryNet,
     pub store: Rc<FakeStore>,
     pub cloud: Rc<FakeCloud>,
     pub ledger: Rc<Ledger>,
     /// While set, the state service refuses that controller.
     pub refused: Vec<Rc<Cell<bool>>>,
-    running: RefCell<Vec<Option<JoinHandle<()>>>>,
+    running: RefCell<Vec<Option<Running>>>,
     clients: Vec<Client>,
     seeds: Cell<u64>,
 }
 
-fn settings_of(n: usize, grants: Grants) -> Settings {
+fn settings_of(n: usize, grants: Grants, operator: Operator) -> Settings {
     let Grants { state_rps, write_rps, cloud_rps, sockets } = grants;
     let mut text = format!(
         "node_name = \"{}\"\ndomain = \"z1\"\nclient_listen = \"10.0.0.{}:8080\"\nback = \"10.0.0.{}:8081\"\n",
@@ -71,7 +77,7 @@
          [settings.cloud]\nrps = {cloud_rps:.1}\nlist_lag_s = 1.0\n[settings.limits]\nsockets = {sockets}\n"
     );
     let platform = Platform::parse(&text).expect("the settings are valid");
-    Settings { platform, operator: Operator::default() }
+    Settings { platform, operator }
 }
 
 /// Plays a story in simulated time; it ends with a look at the rules.
@@ -83,6 +89,24 @@
     grants: Grants,
     machines: u32,
     tell: impl FnOnce(Rc<World>) -> F,
+) {
+    story_of(grants, Operator::default(), machines, tell);
+}
+
+/// A story under settings that the operators changed.
+pub fn story_under<F: Future<Output = ()>>(
+    operator: Operator,
+    machines: u32,
+    tell: impl FnOnce(Rc<World>) -> F,
+) {
+    story_of(SMALL, operator, machines, tell);
+}
+
+fn story_of<F: Future<Output = ()>>(
+    grants: Grants,
+    operator: Operator,
+    machines: u32,
+    tell: impl FnOnce(Rc<World>) -> F,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -90,7 +114,7 @@
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
-        let world = Rc::new(World::new(grants, machines));
+        let world = Rc::new(World::new(grants, operator, machines));
         for n in 0..NODES.len() {
             world.start(n);
         }
@@ -118,11 +142,11 @@
 }
 
 impl World {
-    fn new(grants: Grants, machines: u32) -> Self {
+    fn new(grants: Grants, operator: Operator, machines: u32) -> Self {
         let net = MemoryNet::default();
         let ledger = Rc::new(Ledger::default());
         ledger.cancel_after.set(Duration::from_secs_f64(CANCEL_S));
-        ledger.set_teams(settings_of(0, grants).platform.params.teams);
+        ledger.set_teams(settings_of(0, grants, operator.clone()).platform.params.teams);
         let store = Rc::new(FakeStore::default());
         store.keep_time();
         let mut refused = Vec::new();
@@ -168,27 +192,59 @@
             (0..NODES.len()).map(|n| Client::new(user.clone(), users(n), 50, 1024 * 1024));
         let clients = clients.collect();
         let running = RefCell::new((0..NODES.len()).map(|_| None).collect());
-        Self { grants, net, store, cloud, ledger, refused, running, clients, seeds: Cell::new(7) }
+        let seeds = Cell::new(7);
+        Self { grants, operator, net, store, cloud, ledger, refused, running, clients, seeds }
     }
 
     pub fn start(&self, n: usize) {
         self.seeds.set(self.seeds.get() + 1);
-        let (settings, network, seed) =
-            (settings_of(n, self.grants), self.net.host(NODES[n]), self.seeds.get());
+        let settings = settings_of(n, self.grants, self.operator.clone());
+        let (network, seed) = (self.net.host(NODES[n]), self.seeds.get());
+        let freezer = Freezer::default();
         // Its own task set: when it is dropped, all that the controller had under way ends.
-        let handle = tokio::task::spawn_local(async move {
+        let work = async move {
             let set = LocalSet::new();
             let _ = set.run_until(node::run(settings, network, seed)).await;
-        });
-        self.running.borrow_mut()[n] = Some(handle);
+        };
+        let handle = tokio::task::spawn_local(Process::new(work, freezer.clone()));
+        self.running.borrow_mut()[n] = Some((handle, freezer));
     }
 
     pub fn kill(&self, n: usize) {
-        if let Some(handle) = self.running.borrow_mut()[n].take() {
+        if let Some((handle, _)) = self.running.borrow_mut()[n].take() {
             handle.abort();
         }
     }
 
+    /// The controller stands still, while its clocks run on.
+    pub async fn freeze(&self, n: usize, seconds: f64) {
+        let freezer = self.running.borrow()[n].as_ref().map(|(_, freezer)| freezer.clone());
+        let freezer = freezer.expect("it runs");
+        freezer.freeze();
+        secs(seconds).await;
+        freezer.thaw();
+    }
+
+    pub fn others(&self, n: usize) -> Vec<usize> {
+        (0..NODES.len()).filter(|other| *other != n).collect()
+    }
+
+    /// Cuts, or heals, the links between a controller and the others.
+    pub fn part(&self, n: usize, parted: bool) {
+        for other in self.others(n) {
+            match parted {
+                true => self.net.cut(NODES[n], NODES[other]),
+                false => self.net.heal(NODES[n], NODES[other]),
+            }
+        }
+    }
+
+    /// The worker of the machine that a task is on.
+    pub fn worker_of(&self, task: &TaskId) -> Rc<FakeWorker> {
+        let machine = self.ledger.machine_of(task).expect("the task is on a machine");
+        self.cloud.worker(&machine).expect("a worker")
+    }
+
     pub async fn restart(&self, n: usize, after: f64) {
         self.kill(n);
         secs(after).await;
@@ -240,6 +296,15 @@
         panic!("no lasting answer to {method} {path}");
     }
 
+    /// Repeats a submission to one controller; what it was told counts.
+    pub async fn submit_again(&self, n: usize, spec: &JobSpec) -> Option<u16> {
+        let asked = tokio::time::Instant::now().into_std();
+        let body = serde_json::to_vec(spec).expect("serializable");
+        let (status, body) = self.ask(n, "POST", PATH_JOBS, &body).await?;
+        self.heard(&spec.id, asked, serde_json::from_slice(&body).ok().filter(|_| status == 200));
+        Some(status)
+    }
+
     pub async fn submit(&self, spec: &JobSpec, run_s: f64) -> u16 {
         self.submit_plan(Plan { spec: spec.clone(), run_s, broken: false }).await
     }
@@ -251,22 +316,45 @@
     }
 
     pub async fn status(&self, id: &JobId) -> Option<JobStatus> {
+        let asked = tokio::time::Instant::now().into_std();
         let (_, view) = self.insist("GET", &format!("{PATH_JOBS}/{id}"), b"").await;
-        let status = view.map(|v| v.status);
-        if status == Some(JobStatus::Done) {
-            self.ledger.told_done(id);
-        }
-        status
+        self.heard(id, asked, view)
     }
 
     pub async fn cancel(&self, id: &JobId) -> Option<JobStatus> {
         let path = format!("{PATH_JOBS}/{id}/{PATH_CANCEL}");
+        let asked = tokio::time::Instant::now().into_std();
         let (_, view) = self.insist("POST", &path, b"").await;
-        let status = view.map(|v| v.status);
-        if status == Some(JobStatus::Cancelled) {
-            self.ledger.told_cancelled(id);
+        self.heard(id, asked, view)
+    }
+
+    /// One request about a job to one controller; what it was told counts.
+    pub async fn ask_about(&self, n: usize, id: &JobId, verb: Option<&str>) -> Option<JobStatus> {
+        let asked = tokio::time::Instant::now().into_std();
+        let path = format!("{PATH_JOBS}/{id}");
+        let answer = match verb {
+            Some(verb) => self.ask(n, "POST", &format!("{path}/{verb}"), b"").await,
+            None => self.ask(n, "GET", &path, b"").await,
+        };
+        let (status, body) = answer?;
+        self.heard(id, asked, serde_json::from_slice(&body).ok().filter(|_| status == 200))
+    }
+
+    /// Cancels at one controller, as often as it takes.
+    pub async fn cancel_at(&self, n: usize, id: &JobId) {
+        for _ in 0..60 {
+            if self.ask_about(n, id, Some(PATH_CANCEL)).await == Some(JobStatus::Cancelled) {
+                return;
+            }
+            secs(0.5).await;
         }
-        status
+        panic!("{id} is not cancelled");
+    }
+
+    fn heard(&self, id: &JobId, asked: Instant, view: Option<JobView>) -> Option<JobStatus> {
+        let status = view?.status;
+        self.ledger.told(id, status, asked);
+        Some(status)
     }
 
     /// Waits until the job is done, and says how long that took.
@@ -274,7 +362,11 @@
         let start = tokio::time::Instant::now();
         while self.status(id).await != Some(JobStatus::Done) {
             let waited = start.elapsed().as_secs_f64();
-            assert!(waited < limit, "{id} is not done after {waited} s: {:?}", self.record(id));
+            if waited >= limit {
+                let view = self.ask(self.planner_node(), "GET", "/operator/overview", b"").await;
+                let view = view.map(|(_, body)| String::from_utf8_lossy(&body).into_owned());
+                panic!("{id} is not done after {waited} s: {:?}, {view:?}", self.record(id));
+            }
             secs(1.0).await;
         }
         start.elapsed().as_secs_f64()
--- a/crates/fakes/src/ledger.rs
+++ b/crates/fakes/src/ledger.rs
@@ -1,9 +1,10 @@
 //! What really runs where, and the rules.
 
 use crate::now;
+use crate::worker::WorkerSettings;
 use corkfield_wire::settings::Team;
-use corkfield_wire::{JobId, JobSpec, TaskId};
-use std::cell::RefCell;
+use corkfield_wire::{JobId, JobSpec, JobStatus, TaskId};
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,11 @@
     broken: RefCell<Vec<String>>,
     starts: RefCell<BTreeMap<TaskId, u32>>,
     starts_on: RefCell<BTreeMap<String, u32>>,
+    /// Zone of each machine, and whether it is a spot machine.
+    machines: RefCell<BTreeMap<String, (String, bool)>>,
+    /// What users were told last of jobs that are over.
+    told: RefCell<BTreeMap<JobId, (JobStatus, Instant)>>,
+    late_starts: Cell<u32>,
     pub cancel_after: std::cell::Cell<Duration>,
 }
 
@@ -34,6 +40,11 @@
         *self.teams.borrow_mut() = teams;
     }
 
+    pub(crate) fn machine_up(&self, settings: &WorkerSettings) {
+        let place = (settings.zone.clone(), settings.spot);
+        self.machines.borrow_mut().insert(settings.name.clone(), place);
+    }
+
     pub fn submitted(&self, plan: Plan) {
         self.plans.borrow_mut().insert(plan.spec.id.clone(), plan);
     }
@@ -42,11 +53,28 @@
         self.plans.borrow().get(id).cloned()
     }
 
-    pub fn told_cancelled(&self, id: &JobId) {
+    /// A user who asked at that moment was told this of a job: a final state stays.
+    pub fn told(&self, id: &JobId, status: JobStatus, asked: Instant) {
+        if let Some((before, at)) = self.told.borrow().get(id) {
+            if *before != status && (status.is_final() || *at <= asked) {
+                self.note(format!("went_back: {id} from {before:?} to {status:?}"));
+            }
+        }
+        if status.is_final() {
+            self.told.borrow_mut().entry(id.clone()).or_insert((status, now()));
+        }
+        match status {
+            JobStatus::Done => self.told_done(id),
+            JobStatus::Cancelled => self.told_cancelled(id),
+            JobStatus::Queued | JobStatus::Running => {}
+        }
+    }
+
+    fn told_cancelled(&self, id: &JobId) {
         self.cancelled.borrow_mut().entry(id.clone()).or_insert_with(now);
     }
 
-    pub fn told_done(&self, id: &JobId) {
+    fn told_done(&self, id: &JobId) {
         let all = self.plan(id).map_or(0, |p| p.spec.tasks as usize);
         if self.done.borrow().get(id).map_or(0, |d| d.len()) < all {
             self.note(format!("not_done: {id}"));
@@ -65,7 +93,11 @@
         *self.starts.borrow_mut().entry(task.clone()).or_default() += 1;
         *self.starts_on.borrow_mut().entry(machine.to_owned()).or_default() += 1;
         self.check_cancelled(task);
+        if self.cancelled.borrow().contains_key(&task.job) {
+            self.late_starts.set(self.late_starts.get() + 1);
+        }
         let Some(plan) = self.plan(&task.job) else { return };
+        self.check_place(task, machine, &plan.spec);
         let team = self.teams.borrow().iter().find(|t| t.name == plan.spec.team).cloned();
         let Some(team) = team.filter(|t| t.cpus_max > 0.0) else { return };
         let on = self.on.borrow();
@@ -77,6 +109,29 @@
         }
     }
 
+    /// Zone and kind of machine, given where the job's other tasks are at this moment.
+    fn check_place(&self, task: &TaskId, machine: &str, spec: &JobSpec) {
+        let machines = self.machines.borrow();
+        let Some((zone, spot)) = machines.get(machine) else { return };
+        let on = self.on.borrow();
+        let of_job = on.iter().filter(|(other, _)| other.job == task.job);
+        let zones: Vec<&String> =
+            of_job.filter_map(|(_, machine)| machines.get(machine).map(|(zone, _)| zone)).collect();
+        let here = zones.iter().filter(|other| **other == zone).count();
+        let wrong = spec.zone.as_ref().is_some_and(|only| only != zone)
+            || *spot && !spec.spot
+            || spec.one_zone && here < zones.len()
+            || here > spec.zone_cap() as usize;
+        if wrong {
+            self.note(format!("wrong_place: {task} in {zone} on {machine}, others in {zones:?}"));
+        }
+    }
+
+    /// Starts of jobs whose users had been told that they are cancelled.
+    pub fn late_starts(&self) -> u32 {
+        self.late_starts.get()
+    }
+
     pub fn check_cancelled(&self, task: &TaskId) {
         let told = self.cancelled.borrow().get(&task.job).copied();
         if told.is_some_and(|at| now() > at + self.cancel_after.get()) {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,12 +5,14 @@
 mod cloud;
 mod ledger;
 mod net;
+mod process;
 mod store;
 mod worker;
 
 pub use cloud::FakeCloud;
 pub use ledger::{Ledger, Plan};
 pub use net::{Host, MemoryNet};
+pub use process::{Freezer, Process};
 pub use store::{FakeStore, Fault};
 pub use worker::{FakeWorker, WorkerSettings};
 
--- a/crates/fakes/src/net.rs
+++ b/crates/fakes/src/net.rs
@@ -2,7 +2,7 @@
 
 use corkfield_http::net::LocalFuture;
 use corkfield_http::{Listener, Network, Stream};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::io::{Error, ErrorKind, Result};
@@ -13,8 +13,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf};
 use tokio::sync::{mpsc, Mutex, Notify};
 
-const LATENCY: Duration = Duration::from_millis(1);
-
 type Task = Pin<Box<dyn Future<Output = ()>>>;
 type Incoming = mpsc::UnboundedSender<Stream>;
 
@@ -22,6 +20,8 @@
     listeners: RefCell<BTreeMap<SocketAddr, (String, Incoming)>>,
     cuts: RefCell<BTreeSet<(String, String)>>,
     healed: Notify,
+    /// How long each message is under way.
+    latency: Cell<Duration>,
     spawn: mpsc::UnboundedSender<Task>,
     /// Connections that each host has open, and the most it had.
     open: RefCell<BTreeMap<String, (usize, usize)>>,
@@ -87,6 +87,7 @@
             listeners: RefCell::default(),
             cuts: RefCell::default(),
             healed: Notify::new(),
+            latency: Cell::new(Duration::from_millis(1)),
             spawn,
             open: RefCell::default(),
         }))
@@ -108,6 +109,10 @@
         self.0.healed.notify_waiters();
     }
 
+    pub fn set_latency(&self, latency: Duration) {
+        self.0.latency.set(latency);
+    }
+
     /// The most connections that a host had open at once.
     pub fn most_open(&self, host: &str) -> usize {
         self.0.open.borrow().get(host).map_or(0, |(_, most)| *most)
@@ -129,7 +134,7 @@
     fn connect(&self, addr: SocketAddr) -> LocalFuture<'_, Result<Stream>> {
         Box::pin(async move {
             let refused = || Error::from(ErrorKind::ConnectionRefused);
-            tokio::time::sleep(LATENCY).await;
+            tokio::time::sleep(self.net.latency.get()).await;
             let other = self.net.listeners.borrow().get(&addr).map(|l| l.0.clone());
             let other = other.ok_or_else(refused)?;
             self.net.until_open(&self.name, &other).await;
@@ -199,7 +204,7 @@
 ) {
     let mut buffer = vec![0; 16 * 1024];
     while let Ok(n) = from.read(&mut buffer).await {
-        tokio::time::sleep(LATENCY).await;
+        tokio::time::sleep(net.latency.get()).await;
         // What was sent before or during a cut arrives after it, even if its sender gave up.
         net.until_open(&a, &b).await;
         if n == 0 || to.write_all(&buffer[..n]).await.is_err() {
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -24,6 +24,8 @@
     LoseAnswer,
     /// Executed after this many seconds; nobody hears of it.
     Late(f64),
+    /// Never executed, and not answered.
+    Drop,
 }
 
 type Chooser = Box<dyn Fn(&Request) -> Fault>;
@@ -158,6 +160,7 @@
                 sleep(seconds).await;
                 self.answer(&request, &refused).await
             }
+            Fault::Drop => std::future::pending().await,
             Fault::LoseAnswer => {
                 self.answer(&request, &refused).await;
                 std::future::pending().await
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -58,6 +58,8 @@
     pub sick: Cell<bool>,
     /// Its reports arrive, but neither answers nor commands reach it.
     pub deaf: Cell<bool>,
+    /// It reaches no controller, while direct commands reach it.
+    pub mute: Cell<bool>,
     /// The reports that it sent last, for copies that come late.
     sent: RefCell<VecDeque<Vec<u8>>>,
     unheard: Cell<u32>,
@@ -79,6 +81,7 @@
             tasks: BTreeMap::new(),
             notice: None,
         };
+        ledger.machine_up(&settings);
         let worker = Rc::new(Self {
             settings,
             ledger,
@@ -89,6 +92,7 @@
             dead: Cell::new(false),
             sick: Cell::new(false),
             deaf: Cell::new(false),
+            mute: Cell::new(false),
             sent: RefCell::default(),
             unheard: Cell::new(0),
         });
@@ -338,6 +342,11 @@
         while !self.dead.get() {
             self.awake().await;
             self.check_lease();
+            if self.mute.get() {
+                at = (at + 1) % controllers.len();
+                sleep(1.0).await;
+                continue;
+            }
             let report = self.current();
             let sent = now();
             let body = serde_json::to_vec(&report).unwrap_or_default();
