Claims don't wait for the finished tasks of very large jobs

Found by the story closing_what_is_cancelled_waits_for_no_claim_and_no_read: a read of finished chunks that never succeeds held up every other claim, and in the first round of a take-over the planner itself. These reads now go on beside; the job is left out of further claims meanwhile, and its tasks are let be.

--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -16,7 +16,7 @@
 };
 use corkfield_wire::store::Txn;
 use corkfield_wire::worker::{DirectOrders, Order, Report, PATH_COMMANDS};
-use corkfield_wire::JobId;
+use corkfield_wire::{JobId, TaskSet};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -192,6 +192,26 @@
         self.cancelled.borrow().since.contains_key(id)
     }
 
+    /// A job was claimed, with its finished tasks.
+    fn take_claimed(
+        &self,
+        node: &Node,
+        planner: &Shared,
+        record: JobRecord,
+        finished: TaskSet,
+        version: u64,
+    ) {
+        let age = Duration::from_millis(wall_ms().saturating_sub(record.accepted_ms));
+        let id = record.spec.id.clone();
+        planner.borrow_mut().claimed(record, finished, version, age, now());
+        // It may have been cancelled while the claim's answer was under way.
+        let unfinished = node.follower.cache.borrow().jobs.contains_key(&id);
+        if !unfinished || self.is_cancelled(&id) {
+            planner.borrow_mut().close_job(&id);
+        }
+        self.want_pass();
+    }
+
     /// Drops what a read begun later refutes: it still holds the job as unfinished. Only a fault
     /// in another controller can bring that about; its tasks were stopped for nothing, and the
     /// job is claimed anew.
@@ -405,6 +425,8 @@
     /// Version of the planner record that this claim rests on.
     version: Rc<Cell<u64>>,
     claimed: Notify,
+    /// Claimed jobs whose finished tasks are being read.
+    reading: Rc<RefCell<HashSet<JobId>>>,
 }
 
 async fn plan(node: &Rc<Node>, me: &Current, version: u64, term: u64) -> End {
@@ -417,6 +439,7 @@
         me: me.clone(),
         version: version.clone(),
         claimed: Notify::new(),
+        reading: Rc::default(),
     };
     let incarnation = me.incarnation.clone();
     *node.leader.tenure.borrow_mut() = Some(Tenure { incarnation, version });
@@ -568,7 +591,9 @@
             let unclaimed = unclaimed.filter(|id| !is_cancelled(id)).cloned().collect();
             planner.set_unclaimed(unclaimed);
             let lapsed: HashSet<JobId> = planner.lapsed_jobs().into_iter().collect();
-            for (id, (record, version)) in cache.jobs.iter().filter(|(id, _)| !is_cancelled(id)) {
+            let reading = self.reading.borrow();
+            let open = |id: &JobId| !is_cancelled(id) && !reading.contains(id);
+            for (id, (record, version)) in cache.jobs.iter().filter(|(id, _)| open(id)) {
                 let known = planner.job(id);
                 let ours = record.owner.as_deref() == Some(self.me.incarnation.as_str());
                 let new = known.is_none_or(|job| *version > job.version && !ours);
@@ -618,25 +643,36 @@
             }
         };
         for record in claimed {
-            let finished = match record.is_chunked() {
-                true => finished_chunks(self.node, &record.spec.id).await,
-                false => record.finished.clone(),
-            };
-            let age = Duration::from_millis(wall_ms().saturating_sub(record.accepted_ms));
-            let id = record.spec.id.clone();
-            let mut planner = self.planner.borrow_mut();
-            planner.claimed(record, finished, version, age, now());
-            // It may have been cancelled while the claim's answer was under way.
-            let unfinished = self.node.follower.cache.borrow().jobs.contains_key(&id);
-            if !unfinished || self.node.leader.is_cancelled(&id) {
-                planner.close_job(&id);
+            if record.is_chunked() && record.done > 0 {
+                self.read_finished(record, version);
+            } else {
+                let finished = record.finished.clone();
+                self.node.leader.take_claimed(self.node, &self.planner, record, finished, version);
             }
         }
         self.claimed.notify_one();
-        self.node.leader.want_pass();
         true
     }
 
+    /// Takes up a claimed job once its finished tasks are read. Other claims don't wait for that.
+    fn read_finished(&self, record: JobRecord, version: u64) {
+        let id = record.spec.id.clone();
+        self.reading.borrow_mut().insert(id.clone());
+        let (node, reading) = (self.node.clone(), self.reading.clone());
+        let planner = Rc::downgrade(&self.planner);
+        tokio::task::spawn_local(async move {
+            while let Some(planner) = planner.upgrade() {
+                if let Some(finished) = finished_chunks(&node, &id).await {
+                    node.leader.take_claimed(&node, &planner, record, finished, version);
+                    break;
+                }
+                drop(planner);
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+            reading.borrow_mut().remove(&id);
+        });
+    }
+
     /// Whether a claim without an answer was carried out (all of it, as it is one transaction).
     async fn claim_landed(&self, record: &JobRecord) -> Option<u64> {
         let item = self.node.state.get(Use::Claim, &job_key(&record.spec.id)).await.ok()??;
--- a/crates/corkfield/src/settling.rs
+++ b/crates/corkfield/src/settling.rs
@@ -159,27 +159,22 @@
         return None;
     }
     let finished = match found.is_chunked() {
-        true => finished_chunks(node, id).await,
+        true => finished_chunks(node, id).await?,
         false => found.finished.clone(),
     };
     Some((found, finished, item.version))
 }
 
-pub async fn finished_chunks(node: &Node, id: &JobId) -> TaskSet {
-    loop {
-        match node.state.list(Use::Claim, &finished_prefix(id)).await {
-            Ok((items, _)) => {
-                let mut all = TaskSet::default();
-                for item in items {
-                    if let Ok(set) = serde_json::from_value::<TaskSet>(item.value) {
-                        all.extend(&set);
-                    }
-                }
-                return all;
-            }
-            Err(_) => tokio::time::sleep(Duration::from_millis(200)).await,
+/// Finished tasks of a job that is too large to keep them in its record; `None` without an answer.
+pub async fn finished_chunks(node: &Node, id: &JobId) -> Option<TaskSet> {
+    let (items, _) = node.state.list(Use::Claim, &finished_prefix(id)).await.ok()?;
+    let mut all = TaskSet::default();
+    for item in items {
+        if let Ok(set) = serde_json::from_value::<TaskSet>(item.value) {
+            all.extend(&set);
         }
     }
+    Some(all)
 }
 
 async fn drop_chunks(node: &Node, record: &JobRecord) {
--- a/crates/corkfield/tests/meetings/gap.rs
+++ b/crates/corkfield/tests/meetings/gap.rs
@@ -105,8 +105,11 @@
 #[test]
 fn without_a_young_proof_nothing_is_started() {
     story(2, |world| async move {
-        let stream = spec(1, 600);
-        world.submit(&stream, 0.5).await;
+        // All of them may begin without a write of their records.
+        let stream: Vec<_> = (1..=6).map(|n| spec(n, 120)).collect();
+        for job in &stream {
+            world.submit(job, 0.5).await;
+        }
         secs(5.0).await;
         let planner = world.planner_node();
         world.part(planner, true);
@@ -118,20 +121,21 @@
         assert!(world.ledger.starts_in_all() <= starts + 16, "its lease goes on, but no start");
         world.refused[planner].set(false);
         world.part(planner, false);
-        world.until_done(&stream.id, 120.0).await;
+        for job in &stream {
+            world.until_done(&job.id, 150.0).await;
+        }
     });
 }
 
 #[test]
 fn closing_what_is_cancelled_waits_for_no_claim_and_no_read() {
     story(3, |world| async move {
-        // Claiming this one reads its finished tasks, and that never succeeds.
-        let mut huge = spec(1, 2000);
-        huge.cpus = 0.1;
-        world.submit(&huge, 1.0).await;
-        let job = spec(2, 4);
-        world.submit(&job, 200.0).await;
-        secs(6.0).await;
+        // One claim takes four. That of the last reads its finished tasks, which never succeeds.
+        let jobs: Vec<_> = (1..=6).map(|n| spec(n, if n < 6 { 2 } else { 2000 })).collect();
+        for job in &jobs {
+            world.submit(job, if job.tasks == 2 { 200.0 } else { 1.0 }).await;
+        }
+        secs(9.0).await;
         world.store.set_faults(|request| {
             let stuck = request.target.contains("prefix=d/");
             if stuck {
@@ -143,11 +147,25 @@
         let planner = world.planner_node();
         world.restart(planner, 0.2).await;
         secs(12.0).await;
+        // Only its reads of the store tell it.
         let planner = world.planner_node();
-        world.cancel_at(planner, &job.id).await;
-        secs(3.0).await;
-        assert_eq!(world.ledger.running(&job.id), 0);
+        world.part(planner, true);
+        for doomed in &jobs[..3] {
+            assert_eq!(world.ledger.running(&doomed.id), 2);
+            world.cancel_at(world.others(planner)[0], &doomed.id).await;
+            secs(3.0).await;
+            assert_eq!(world.ledger.running(&doomed.id), 0);
+        }
+        // Nor do other claims.
+        let next = spec(7, 2);
+        world.submit(&next, 1.0).await;
+        world.until_done(&next.id, 20.0).await;
+        world.part(planner, false);
         world.store.clear_faults();
+        for job in &jobs[3..5] {
+            world.cancel(&job.id).await;
+        }
+        world.until_done(&jobs[5].id, 200.0).await;
     });
 }
 
