Slow machines are a last resort, not useless; machines are rented for work bound to a zone

A machine whose reports were held up for seconds was taken for slow, since run times were measured to the report; a slow machine got no work, and where no other could be rented it was neither used nor returned. Now a run time counts against a machine only as far as it surely lasted, and a slow machine gets one task at a time where nothing else has room (commands_and_answers_that_are_held_up..., and one of the planner alone).

Machines were rented only if all work together wanted more than all machines together have: work bound to a zone, to types or to ordinary machines waited for ever beside idle machines elsewhere (work_bound_to_a_zone..., with idle machines in the other zone).

Also: after a take-over, tasks that have to stay together or apart are started only once all machines have shown what they hold, unless no task of the job was ever begun; others of the job may be in another zone (S8).

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -31,8 +31,10 @@
     free: Need,
     zone: String,
     spot: bool,
-    /// Failed its last task: gets one at a time until one completes.
+    /// Failed its last task, or is slow: gets one at a time until one completes well.
     probing: bool,
+    /// Takes work only where there is no other room.
+    slow: bool,
     /// Kept for work of higher priority, whether it is free yet or not.
     reserved: Need,
     /// What the tasks there take, by priority.
@@ -209,10 +211,13 @@
         }
         for machine in self.machines.values() {
             self.steps.set(self.steps.get() + 1);
-            if !machine.takes_work(now, silence) || machine.is_slow() {
+            if !machine.takes_work(now, silence) {
                 continue;
             }
-            let probing = machine.failures > 0;
+            // Left out altogether, a machine that is slow no more, or was taken for slow by
+            // mistake, would never show it, and work would wait beside it for ever.
+            let slow = machine.is_slow();
+            let probing = machine.failures > 0 || slow;
             let Some(free) = machine.free().filter(|_| !probing || machine.is_empty()) else {
                 continue;
             };
@@ -221,7 +226,7 @@
             let reserved = Need::default();
             let by_priority = machine.held.totals().by_priority;
             let spot = machine.spot;
-            rooms.all.push(Room { name, free, zone, spot, probing, reserved, by_priority });
+            rooms.all.push(Room { name, free, zone, spot, probing, slow, reserved, by_priority });
             rooms.open.push(n);
             rooms.keepable.push(n);
             for (image, _) in &machine.images {
@@ -263,6 +268,11 @@
         if !allowed(usage[job.team].plus(one)) {
             return;
         }
+        // S8: where those tasks are that earlier owners may have started is not known yet.
+        let together = job.record.spec.one_zone || job.record.spec.spread;
+        if fencing && together && job.record.begun_before > 0 {
+            return;
+        }
         let Rooms { all: rooms, open, least, holding: by_image, .. } = rooms;
         let spec = &job.record.spec;
         // Which hold the image is looked up once: a job may place thousands of tasks.
@@ -287,6 +297,8 @@
         if others.is_empty() {
             return;
         }
+        let (mut slow, mut others): (Vec<usize>, Vec<usize>) =
+            others.into_iter().partition(|n| rooms[*n].slow);
         let mut holding: Vec<usize> = Vec::new();
         let with_image = by_image.entry(spec.image.clone()).or_default();
         if !with_image.is_empty() {
@@ -294,7 +306,7 @@
                 others.into_iter().partition(|n| with_image.binary_search(n).is_ok());
         }
         let mut zones: BTreeMap<String, u32> = BTreeMap::new();
-        if job.record.spec.one_zone || job.record.spec.spread {
+        if together {
             for placed in job.active().values() {
                 if let Some(machine) = self.machines.get(&placed.machine) {
                     *zones.entry(machine.zone.clone()).or_default() += 1;
@@ -303,7 +315,7 @@
         }
         let same_zone = job.record.spec.one_zone.then(|| match zones.keys().next() {
             Some(zone) => zone.clone(),
-            None => roomiest_zone(rooms, holding.iter().chain(&others), &need),
+            None => roomiest_zone(rooms, holding.iter().chain(&others).chain(&slow), &need),
         });
         let cap = job.record.spec.zone_cap();
         let mut recheck = true;
@@ -320,9 +332,14 @@
                 };
                 holding.retain(fits);
                 others.retain(fits);
+                slow.retain(fits);
             }
             // A machine holding the image, however few of them there are; else the roomiest.
-            let list = if holding.is_empty() { &mut others } else { &mut holding };
+            let (list, is_new) = match (holding.is_empty(), others.is_empty()) {
+                (false, _) => (&mut holding, false),
+                (true, false) => (&mut others, true),
+                (true, true) => (&mut slow, false),
+            };
             let Some(at) = roomiest(rooms, list, self.config.placement_sample, &mut self.rng)
             else {
                 return;
@@ -331,7 +348,7 @@
                 return;
             };
             let n = list[at];
-            if holding.is_empty() {
+            if is_new {
                 others.swap_remove(at);
                 holding.push(n);
                 if let Err(at) = with_image.binary_search(&n) {
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -609,7 +609,7 @@
         }
         machine.addr.clone_from(&report.addr);
         let gap = machine.heard_at.map(|at| now.saturating_duration_since(at));
-        let prompt = gap.is_some_and(|gap| gap <= self.config.report_interval.mul_f64(1.5));
+        let prompt = gap.filter(|gap| *gap <= self.config.report_interval.mul_f64(1.5));
         machine.heard_at = Some(now);
         machine.notice = report.notice_s.is_some();
         if machine.state() == MachineState::Booting {
@@ -656,7 +656,7 @@
         name: &str,
         report: &Report,
         own_report: bool,
-        prompt: bool,
+        prompt: Option<Duration>,
         now: Instant,
     ) {
         let mut reported: BTreeSet<(TaskId, u64)> = BTreeSet::new();
@@ -695,7 +695,13 @@
     }
 
     /// Takes what a report says of a task; true if that shows that a start was taken.
-    fn sync_task(&mut self, name: &str, task: &TaskReport, prompt: bool, now: Instant) -> bool {
+    fn sync_task(
+        &mut self,
+        name: &str,
+        task: &TaskReport,
+        prompt: Option<Duration>,
+        now: Instant,
+    ) -> bool {
         let key = (task.task.clone(), task.attempt);
         let job = self.jobs.get_mut(&task.task.job);
         let Some(machine) = self.machines.get_mut(name) else {
@@ -736,10 +742,10 @@
                     machine.failed_jobs.clear();
                     // A run time is known only if its beginning and its end were reported at
                     // once: a machine that couldn't report for a while is not a slow one.
-                    let before = before.filter(|_| held.ours && prompt);
-                    if let Some((HeldState::Running, since)) = before {
-                        let ran = now.duration_since(since).as_secs_f64();
-                        Self::note_run(&mut self.corrections, job, machine, ran);
+                    let before = before.filter(|_| held.ours);
+                    if let (Some((HeldState::Running, since)), Some(gap)) = (before, prompt) {
+                        let ran = now.duration_since(since);
+                        Self::note_run(&mut self.corrections, job, machine, ran, gap);
                     }
                 }
             }
@@ -777,14 +783,19 @@
         corrections: &mut HashMap<String, (u32, f64)>,
         job: &mut Job,
         machine: &mut Machine,
-        ran: f64,
+        ran: Duration,
+        gap: Duration,
     ) {
         if job.runs.0 >= 2 {
             let mean = job.runs.1 / f64::from(job.runs.0);
-            let ratio = (ran / mean.max(0.5)).clamp(0.2, 10.0);
+            // It may have ended at any moment since the report before: a machine whose reports
+            // are held up for seconds is not a slow one.
+            let least = ran.saturating_sub(gap).as_secs_f64();
+            let ratio = (least / mean.max(0.5)).clamp(0.2, 10.0);
             machine.slowness = machine.slowness * 0.7 + ratio * 0.3;
             machine.slowness_samples += 1;
         }
+        let ran = ran.as_secs_f64();
         job.runs.0 += 1;
         job.runs.1 += ran;
         let guess = job.record.spec.estimate_s;
--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -47,6 +47,23 @@
     }
 }
 
+/// Whether tasks of the job may run on such a machine.
+fn fits(spec: &JobSpec, kind: &MachineType, zone: &str, spot: bool) -> bool {
+    (spec.spot || !spot)
+        && spec.types.as_ref().is_none_or(|names| names.contains(&kind.name))
+        && spec.zone.as_ref().is_none_or(|z| z == zone)
+        && spec.cpus <= kind.cpus
+        && spec.gpus <= kind.gpus
+        && spec.memory_gb <= kind.memory_gb
+}
+
+/// Whether a rental under way brings machines that the job allows.
+fn suits(spec: &JobSpec, rental: &RentRequest) -> bool {
+    (spec.spot || !rental.spot)
+        && spec.types.as_ref().is_none_or(|names| names.contains(&rental.machine_type))
+        && spec.zone.as_ref().is_none_or(|zone| *zone == rental.zone)
+}
+
 /// Whether dear machines are not needed beside so many cheap ones.
 fn enough_cheap(cheap: f64, dear: f64, want: f64) -> bool {
     cheap >= BY_FAR * dear || (cheap >= MOSTLY * dear && cheap >= want)
@@ -97,6 +114,7 @@
         let (wide, spot_wide) = self.wanted_cpus();
         let supply = self.supply(now);
         self.rent(wide, spot_wide, supply, now);
+        self.rent_for_bound(now);
         self.return_dear(wide);
         self.return_idle(wide, supply, now);
     }
@@ -138,11 +156,7 @@
         let mut all = 0.0;
         let mut spot = 0.0;
         for job in self.jobs.values().filter(|j| j.may_start()) {
-            let run_s = job.expected_run_s(self.correction(&job.spec().class));
-            let demand = job.demand().cpus;
-            // Tasks shorter than the horizon can follow one another on the same machine.
-            let want = demand * (run_s / HORIZON_S).min(1.0);
-            let want = want.max(job.spec().cpus);
+            let want = self.wanted_by(job);
             all += want;
             if job.spec().spot {
                 spot += want;
@@ -151,7 +165,24 @@
         (all, spot)
     }
 
+    fn wanted_by(&self, job: &Job) -> f64 {
+        let run_s = job.expected_run_s(self.correction(&job.spec().class));
+        // Tasks shorter than the horizon can follow one another on the same machine.
+        let want = job.demand().cpus * (run_s / HORIZON_S).min(1.0);
+        want.max(job.spec().cpus)
+    }
+
     fn supply(&self, now: Instant) -> f64 {
+        self.supply_of(now, |_| true, |_| true)
+    }
+
+    /// CPUs of machines that work or are coming, of those that suit.
+    fn supply_of(
+        &self,
+        now: Instant,
+        suiting: impl Fn(&Machine) -> bool,
+        suiting_rental: impl Fn(&RentRequest) -> bool,
+    ) -> f64 {
         // A machine that should have reported is probably gone. What that means for its tasks
         // is for S5 to tell; another machine may be asked for meanwhile.
         let silence = self.config.silence();
@@ -163,6 +194,7 @@
                 && !m.lapsed
                 && m.hearing() != Hearing::Deaf
                 && !silent(m)
+                && suiting(m)
         };
         let rented: f64 = self
             .machines
@@ -174,6 +206,7 @@
             .renting
             .under_way
             .values()
+            .filter(|r| suiting_rental(r))
             .filter_map(|r| {
                 let size = self.types.iter().find(|t| t.name == r.machine_type)?;
                 Some(size.cpus * f64::from(r.count))
@@ -183,7 +216,7 @@
     }
 
     fn rent(&mut self, want: f64, spot_want: f64, supply: f64, now: Instant) {
-        let mut missing = want - supply;
+        let missing = want - supply;
         if missing <= 0.0 {
             return;
         }
@@ -198,6 +231,58 @@
         };
         let (cheap, dear_cpus) = (coming(true), coming(false));
         let mut offers: Vec<(f64, bool, MachineType, String)> = Vec::new();
+        for (kind, zone, spot) in self.open_offers(now) {
+            // It would be returned as soon as it is up.
+            let dear = !spot
+                && want <= spot_want
+                && kind.spot_price > 0.0
+                && kind.price > DEAR * kind.spot_price
+                && enough_cheap(cheap, dear_cpus + kind.cpus, want);
+            let useful = if spot { spot_want > 0.0 } else { !dear };
+            if !useful || !self.somebody_fits(&kind, &zone, spot) {
+                continue;
+            }
+            let price = if spot { kind.spot_price } else { kind.price };
+            offers.push((price / kind.cpus.max(0.1), spot, kind, zone));
+        }
+        self.ask_for(missing, offers);
+    }
+
+    /// Jobs bound to a zone, to machine types or to ordinary machines find no use in what there
+    /// is elsewhere: what the machines that suit them lack is asked for besides.
+    fn rent_for_bound(&mut self, now: Instant) {
+        type Bounds = (Option<String>, Option<Vec<String>>, bool);
+        let mut bound: BTreeMap<Bounds, (f64, JobSpec)> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.may_start() && job.waiting() > 0) {
+            let spec = job.spec();
+            if spec.zone.is_some() || spec.types.is_some() || !spec.spot {
+                let key = (spec.zone.clone(), spec.types.clone(), spec.spot);
+                let (want, largest) = bound.entry(key).or_insert_with(|| (0.0, spec.clone()));
+                *want += self.wanted_by(job);
+                if spec.cpus > largest.cpus {
+                    *largest = spec.clone();
+                }
+            }
+        }
+        for (want, spec) in bound.into_values() {
+            let missing = want - self.supply_of(now, |m| m.allows(&spec), |r| suits(&spec, r));
+            if missing <= 0.0 {
+                continue;
+            }
+            let mut offers = Vec::new();
+            for (kind, zone, spot) in self.open_offers(now) {
+                if fits(&spec, &kind, &zone, spot) {
+                    let price = if spot { kind.spot_price } else { kind.price };
+                    offers.push((price / kind.cpus.max(0.1), spot, kind, zone));
+                }
+            }
+            self.ask_for(missing, offers);
+        }
+    }
+
+    /// Offers that were not refused lately and are not asked for at the moment.
+    fn open_offers(&self, now: Instant) -> Vec<(MachineType, String, bool)> {
+        let mut open = Vec::new();
         for kind in &self.types {
             for zone in &kind.zones {
                 for spot in [true, false] {
@@ -207,21 +292,17 @@
                     let under_way = self.renting.under_way.values().any(|r| {
                         (&r.machine_type, &r.zone, r.spot) == (&offer.0, &offer.1, offer.2)
                     });
-                    // It would be returned as soon as it is up.
-                    let dear = !spot
-                        && want <= spot_want
-                        && kind.spot_price > 0.0
-                        && kind.price > DEAR * kind.spot_price
-                        && enough_cheap(cheap, dear_cpus + kind.cpus, want);
-                    let useful = if spot { spot_want > 0.0 } else { !dear };
-                    if waits || under_way || !useful || !self.somebody_fits(kind, zone, spot) {
-                        continue;
+                    if !waits && !under_way {
+                        open.push((kind.clone(), zone.clone(), spot));
                     }
-                    let price = if spot { kind.spot_price } else { kind.price };
-                    offers.push((price / kind.cpus.max(0.1), spot, kind.clone(), zone.clone()));
                 }
             }
         }
+        open
+    }
+
+    /// Asks for machines worth so many CPUs, the cheapest offers first.
+    fn ask_for(&mut self, mut missing: f64, mut offers: Vec<(f64, bool, MachineType, String)>) {
         offers.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
         for n in 0..offers.len() {
             if missing <= 0.0 {
@@ -249,15 +330,8 @@
     }
 
     fn somebody_fits(&self, kind: &MachineType, zone: &str, spot: bool) -> bool {
-        let fits = |spec: &JobSpec| {
-            (spec.spot || !spot)
-                && spec.types.as_ref().is_none_or(|names| names.contains(&kind.name))
-                && spec.zone.as_ref().is_none_or(|z| z == zone)
-                && spec.cpus <= kind.cpus
-                && spec.gpus <= kind.gpus
-                && spec.memory_gb <= kind.memory_gb
-        };
-        self.jobs.values().any(|j| j.may_start() && j.waiting() > 0 && fits(j.spec()))
+        let waits = |job: &Job| job.may_start() && job.waiting() > 0;
+        self.jobs.values().any(|job| waits(job) && fits(job.spec(), kind, zone, spot))
     }
 
     /// Machines that take several times their boot time may never come up.
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -726,3 +726,108 @@
     let last = Action::Delete(vec!["host-47".into()]);
     assert!(planner.take_actions().contains(&last), "silent while nothing else comes");
 }
+
+#[test]
+fn tasks_that_belong_together_or_apart_wait_until_all_machines_have_shown_what_they_hold() {
+    let now = Instant::now();
+    for (one_zone, spread) in [(true, false), (false, true)] {
+        let mut planner = planner(7);
+        let machine = machine_record();
+        planner.recorded_machine("host-1", &machine, Duration::ZERO, now);
+        let other = MachineRecord { zone: "y".into(), ..machine };
+        planner.recorded_machine("host-2", &other, Duration::ZERO, now);
+        planner.on_report(&report(9, 7, Vec::new()), true, now);
+        let mut job = record(100, 1);
+        (job.begun, job.begun_before) = (70, 0);
+        (job.spec.one_zone, job.spec.spread) = (one_zone, spread);
+        job.claim("later owner".into());
+        planner.claimed(job, TaskSet::default(), 5, Duration::ZERO, now);
+        planner.plan(now);
+        let active = |planner: &Planner| planner.job(&id()).expect("claimed").active().len();
+        assert_eq!(active(&planner), 0, "S8: the others may be in another zone");
+        planner.deleted(&["host-2".into()]);
+        planner.plan(now);
+        assert_eq!(active(&planner), 4);
+    }
+}
+
+/// Lets a machine run four tasks, one after the other, that take `run` each; its reports come
+/// every 2 s, or whenever a task ends.
+fn run_four(planner: &mut Planner, name: &str, run: Duration, held_up: Duration, start: Instant) {
+    let (mut at, mut seq) = (start, 10);
+    for _ in 0..4 {
+        let mut say = |planner: &mut Planner, at: Instant, tasks: Vec<TaskReport>| {
+            seq += 1;
+            let report = Report { machine: name.to_owned(), ..report(seq, 1, tasks) };
+            planner.on_report(&report, true, at);
+            planner.orders(name, 1, seq, true, at)
+        };
+        say(planner, at, Vec::new());
+        planner.plan(at);
+        let orders = say(planner, at, Vec::new());
+        let starts: Vec<(TaskId, u64)> = orders
+            .iter()
+            .filter_map(|order| match order {
+                Order::Start { task, attempt } => Some((task.clone(), *attempt)),
+                _ => None,
+            })
+            .collect();
+        assert!(!starts.is_empty(), "{name} is given work");
+        let tell = |phase, cause| {
+            let told = starts.iter().map(|(task, attempt)| TaskReport {
+                task: task.clone(),
+                attempt: *attempt,
+                phase,
+                cause,
+                saved: None,
+            });
+            told.collect::<Vec<_>>()
+        };
+        let end = at + run;
+        while at < end {
+            say(planner, at, tell(TaskPhase::Running, None));
+            at += Duration::from_secs(2).min(end - at);
+        }
+        at += held_up;
+        say(planner, at, tell(TaskPhase::Exited, Some(ExitCause::Done)));
+        for settlement in planner.settlements(4, at) {
+            planner.settled(&settlement, 6);
+        }
+        say(planner, at, tell(TaskPhase::Exited, Some(ExitCause::Done)));
+        say(planner, at, Vec::new());
+    }
+}
+
+#[test]
+fn a_slow_machine_gets_work_only_where_there_is_no_other_room_and_one_that_is_held_up_is_not_slow()
+{
+    let start = Instant::now();
+    let secs = Duration::from_secs;
+    let cases = [(true, secs(4), Duration::ZERO), (false, secs(1), Duration::from_millis(1900))];
+    for (slow, run, held_up) in cases {
+        let mut planner = planner(1);
+        let mut at = start;
+        // Each has the work to itself, one after the other.
+        for (name, run) in [("host-0", run), ("host-1", if slow { run * 4 } else { run })] {
+            let report = Report { machine: name.into(), ..report(1, 1, Vec::new()) };
+            planner.on_report(&report, true, at);
+            planner.machine_recorded(name, true);
+            if name == "host-0" {
+                planner.claimed(record(400, 1), TaskSet::default(), 5, Duration::ZERO, at);
+            }
+            let late = if name == "host-1" { held_up } else { Duration::ZERO };
+            run_four(&mut planner, name, run, late, at);
+            // The other one is silent meanwhile, and so gets nothing.
+            at += secs(100);
+        }
+        for name in ["host-0", "host-1"] {
+            let report = Report { machine: name.into(), ..report(900, 1, Vec::new()) };
+            planner.on_report(&report, true, at);
+        }
+        planner.plan(at);
+        let job = planner.job(&id()).expect("claimed");
+        let on = |name: &str| job.active().values().filter(|p| p.machine == name).count();
+        assert_eq!(on("host-0"), 4);
+        assert_eq!(on("host-1"), if slow { 1 } else { 4 }, "slow: {slow}");
+    }
+}
--- a/crates/corkfield/tests/meetings/mod.rs
+++ b/crates/corkfield/tests/meetings/mod.rs
@@ -2,5 +2,6 @@
 
 mod gap;
 mod leaders;
+mod machines;
 mod messages;
 mod users;
