A job of which nothing runs for a minute gets one task into room kept for urgent jobs

One cause found by reading the first two minutes of a log: room kept for urgent jobs that need more at once stays half free for minutes under overload, and smaller work was let in only after 120 s.

--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -2,7 +2,7 @@
 
 use crate::team::Usage;
 use corkfield_wire::records::{JobRecord, CHUNK_TASKS};
-use corkfield_wire::{JobSpec, TaskSet};
+use corkfield_wire::{JobSpec, Priority, TaskSet};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
@@ -59,6 +59,8 @@
     pub(crate) unannounced: bool,
     attempts: u64,
     pub(crate) running: u32,
+    /// Since when none of its tasks has a place.
+    pub(crate) nothing_since: Option<Instant>,
     pub(crate) claimed_at: Instant,
     pub(crate) refunded: bool,
     /// Machines on which its tasks failed since something of it last completed.
@@ -81,6 +83,8 @@
         let due_at = record.spec.deadline_s.map(|d| accepted_at + Duration::from_secs_f64(d));
         let state = if record.set_aside { JobState::SetAside } else { JobState::Active };
         let untouched = record.begun_before;
+        // What an earlier owner began is about to be taken up from reports.
+        let nothing_since = Some(if untouched == 0 { accepted_at } else { now });
         Self {
             record,
             version,
@@ -99,6 +103,7 @@
             unannounced: false,
             attempts: 0,
             running: 0,
+            nothing_since,
             claimed_at: now,
             refunded: false,
             failed_on: Vec::new(),
@@ -149,6 +154,19 @@
         self.spec().tasks.saturating_sub(self.finished.len() + active)
     }
 
+    pub(crate) fn is_urgent(&self) -> bool {
+        self.spec().priority <= Priority::High
+    }
+
+    /// Notes since when nothing of it has a place, though something waits.
+    pub(crate) fn note_nothing(&mut self, now: Instant) {
+        if !self.active.is_empty() || self.waiting() == 0 {
+            self.nothing_since = None;
+        } else {
+            self.nothing_since.get_or_insert(now);
+        }
+    }
+
     /// None of its tasks was ever placed, as far as is known.
     pub(crate) fn has_not_begun(&self) -> bool {
         self.active.is_empty() && self.finished.is_empty()
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -20,11 +20,27 @@
 /// overload the largest, the latest and idle ones would otherwise wait for its end. Once
 /// something of it has begun it stands in line as before.
 const STARVED_AFTER: Duration = Duration::from_secs(120);
+/// A job of which nothing runs for this long gets the next room that one of its tasks fits into,
+/// also if that is kept for an urgent job that needs more: such room is not free for long, but
+/// under lasting overload some machine always has some.
+const PASSED_OVER: Duration = Duration::from_secs(60);
+/// So many of these in one pass.
+const PASSED_OVER_JOBS: usize = 8;
 /// Machines looked at for work to stop in one pass, in samples.
 const LOOKS: usize = 8;
 /// The part of an aim's time that passes before work is stopped for a job that waits.
 const PATIENCE: f64 = 0.55;
 
+/// How much of a job is placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    /// One task, in any room.
+    One,
+    /// What its team's guarantee still holds; all of an urgent job.
+    Guaranteed,
+    All,
+}
+
 /// A machine with room, during one pass.
 struct Room {
     name: String,
@@ -183,19 +199,49 @@
         let hidden = self.hidden_usage();
         // First what comes before the rest because it is within a guarantee, and no more of it
         // than that; then what is left, in the order that results.
-        for (id, _) in queue {
-            self.place_job(&id, true, &mut rooms, &mut usage, hidden, now);
-            self.reserve(&id, &mut rooms);
+        let passed_over = self.passed_over(&queue, now);
+        let urgent = queue.partition_point(|(id, _)| self.jobs[id].is_urgent());
+        for (at, (id, _)) in queue.iter().enumerate() {
+            if at == urgent {
+                self.place_passed_over(&passed_over, &mut rooms, &mut usage, hidden, now);
+            }
+            self.place_job(id, Reach::Guaranteed, &mut rooms, &mut usage, hidden, now);
+            self.reserve(id, &mut rooms);
         }
         for (id, _) in self.queue(&usage, now) {
             if rooms.open.is_empty() {
                 break;
             }
-            self.place_job(&id, false, &mut rooms, &mut usage, hidden, now);
+            self.place_job(&id, Reach::All, &mut rooms, &mut usage, hidden, now);
         }
         self.preempt(&mut usage, now);
     }
 
+    /// Jobs that are not urgent and of which nothing ran for long, the longest first.
+    fn passed_over(&self, queue: &[(JobId, u32)], now: Instant) -> Vec<JobId> {
+        let waiting = queue.iter().filter_map(|(id, _)| {
+            let job = &self.jobs[id];
+            let since = job.nothing_since.filter(|_| !job.is_urgent())?;
+            (now.saturating_duration_since(since) > PASSED_OVER).then_some((since, id))
+        });
+        let mut waiting: Vec<(Instant, &JobId)> = waiting.collect();
+        waiting.sort();
+        waiting.into_iter().take(PASSED_OVER_JOBS).map(|(_, id)| id.clone()).collect()
+    }
+
+    fn place_passed_over(
+        &mut self,
+        jobs: &[JobId],
+        rooms: &mut Rooms,
+        usage: &mut [Usage],
+        hidden: Option<Usage>,
+        now: Instant,
+    ) {
+        for id in jobs {
+            self.place_job(id, Reach::One, rooms, usage, hidden, now);
+        }
+    }
+
     /// What there is room in for the jobs that wait.
     fn rooms(&mut self, queue: &[(JobId, u32)], now: Instant) -> Rooms {
         let silence = self.config.silence();
@@ -238,12 +284,11 @@
         rooms
     }
 
-    /// Places waiting tasks of a job. With `within`, a job that is not urgent gets only what
-    /// its team's guarantee still holds.
+    /// Places waiting tasks of a job.
     fn place_job(
         &mut self,
         id: &JobId,
-        within: bool,
+        reach: Reach,
         rooms: &mut Rooms,
         usage: &mut [Usage],
         hidden: Option<Usage>,
@@ -261,7 +306,7 @@
             None if is_limited(team) => return,
             None => Usage::default(),
         };
-        let capped = within && job.record.spec.priority > Priority::High;
+        let capped = reach == Reach::Guaranteed && !job.is_urgent();
         let allowed = |next: Usage| {
             within_limit(team, next.plus(hidden)) && (!capped || within_guarantee(team, next))
         };
@@ -277,23 +322,33 @@
         let spec = &job.record.spec;
         // Which hold the image is looked up once: a job may place thousands of tasks.
         let mut others: Vec<usize> = Vec::new();
-        let looked_at = open.len() as u64;
-        open.retain(|n| {
-            let room = &rooms[*n];
-            if !room.fits(least) {
-                return false;
-            }
-            let suits = room.fits(&need)
+        let holds = |room: &Room| match reach {
+            Reach::One => room.free.holds(&need),
+            Reach::Guaranteed | Reach::All => room.fits(&need),
+        };
+        let suits = |room: &Room| {
+            holds(room)
                 && (spec.spot || !room.spot)
                 && spec.zone.as_ref().is_none_or(|zone| *zone == room.zone)
                 && (spec.types.is_none() || self.machines[&room.name].allows(spec))
-                && !job.failed_on.contains(&room.name);
-            if suits {
-                others.push(*n);
-            }
-            true
-        });
-        self.steps.set(self.steps.get() + looked_at);
+                && !job.failed_on.contains(&room.name)
+        };
+        let looked_at = if reach == Reach::One { rooms.len() } else { open.len() };
+        if reach == Reach::One {
+            others.extend((0..rooms.len()).filter(|n| suits(&rooms[*n])));
+        } else {
+            open.retain(|n| {
+                let room = &rooms[*n];
+                if !room.fits(least) {
+                    return false;
+                }
+                if suits(room) {
+                    others.push(*n);
+                }
+                true
+            });
+        }
+        self.steps.set(self.steps.get() + looked_at as u64);
         if others.is_empty() {
             return;
         }
@@ -326,7 +381,7 @@
             if recheck {
                 let fits = |n: &usize| {
                     let room = &rooms[*n];
-                    room.fits(&need)
+                    holds(room)
                         && same_zone.as_ref().is_none_or(|zone| *zone == room.zone)
                         && zones.get(&room.zone).copied().unwrap_or(0) < cap
                 };
@@ -383,6 +438,9 @@
             if room.probing {
                 room.free.cpus = -1.0;
             }
+            if reach == Reach::One {
+                return;
+            }
             recheck = !room.fits(&need) || zones[&room.zone] >= cap;
         }
     }
--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -1094,6 +1094,7 @@
                 job.enter(JobState::Lapsed);
             }
             job.running = 0;
+            job.note_nothing(now);
             // A job that failed on every machine there is would otherwise wait for ever.
             let untried = |m: &Machine| {
                 m.state() == MachineState::Up
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -831,3 +831,36 @@
         assert_eq!(on("host-1"), if slow { 1 } else { 4 }, "slow: {slow}");
     }
 }
+
+#[test]
+fn a_job_that_is_passed_over_for_a_minute_begins_in_room_that_is_kept_for_urgent_ones() {
+    let start = Instant::now();
+    let mut planner = planner(1);
+    let say = |planner: &mut Planner, seq: u64, now: Instant| {
+        planner.on_report(&report(seq, 1, Vec::new()), true, now);
+    };
+    say(&mut planner, 1, start);
+    planner.machine_recorded("host-1", true);
+    // Three of four CPUs are taken by work that is not urgent; an urgent task needs two.
+    for (number, priority, tasks, cpus) in
+        [(2, Priority::Normal, 3, 1.0), (3, Priority::High, 1, 2.0), (1, Priority::Normal, 5, 1.0)]
+    {
+        let mut job = record(tasks, 1);
+        job.spec.id = JobId::parse(&format!("j-{number:06}")).expect("an id");
+        (job.spec.priority, job.spec.cpus) = (priority, cpus);
+        planner.claimed(job, TaskSet::default(), 5, Duration::ZERO, start);
+        if number == 2 {
+            planner.plan(start);
+        }
+    }
+    let active = |planner: &Planner| planner.job(&id()).expect("claimed").active().len();
+    planner.plan(start);
+    assert_eq!(active(&planner), 0, "the CPU that is left is kept for the urgent job");
+    let later = start + Duration::from_secs(61);
+    say(&mut planner, 2, later);
+    planner.orders("host-1", 1, 2, false, later);
+    planner.plan(later);
+    planner.tick(later);
+    planner.plan(later);
+    assert_eq!(active(&planner), 1, "it begins, and no more than that");
+}
