A planner that stood still reads the state service before it rents or returns machines

The story shows the meeting; it passes without the guard too, since on the fakes such a planner learns of its lost lease before its next look at machines, also while the store is out of reach.

--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -38,6 +38,8 @@
 /// The others write nothing but what users send, little on average and much at once: so many
 /// seconds' worth may come together.
 const STANDBY_BURST_S: f64 = 5.0;
+/// A planner that looked at nothing for this long was stopped, or had no processor time.
+const STOOD_STILL: Duration = Duration::from_secs(2);
 /// Machines are rented and returned this often, or that soon after a claim.
 const ADJUST: Duration = Duration::from_secs(1);
 const ADJUST_SOON: Duration = Duration::from_millis(200);
@@ -782,11 +784,22 @@
 
     async fn ticking(&self) {
         let mut adjusted = None;
+        let mut before = now();
         loop {
             // A claim is followed by a look at the machines without delay: boots take long.
             let claimed = self.claimed.notified();
             let woken = tokio::time::timeout(Duration::from_millis(250), claimed).await.is_ok();
-            let at = now();
+            if now().saturating_duration_since(before) > STOOD_STILL {
+                // Another may plan by now, with machines that to this process seem never to have
+                // come up, or to be idle: first it looks whether it is still the planner.
+                tracing::info!("stood still; reading the state service first");
+                while !self.node.follower.refresh(STOOD_STILL).await {}
+                if self.node.leader.is_replaced(&self.node.follower.cache.borrow()) {
+                    return std::future::pending().await;
+                }
+            }
+            before = now();
+            let at = before;
             let mut planner = self.planner.borrow_mut();
             planner.tick(at);
             let age = adjusted.map(|before| at.saturating_duration_since(before));
--- a/crates/corkfield/tests/meetings/leaders.rs
+++ b/crates/corkfield/tests/meetings/leaders.rs
@@ -156,6 +156,32 @@
     }
 }
 
+#[test]
+fn a_planner_that_wakes_returns_no_machine_that_another_one_uses() {
+    story(1, |world| async move {
+        world.cloud.capacity.set(4);
+        world.cloud.boot_s.set(20.0);
+        let mut job = spec(1, 30);
+        job.estimate_s = 60.0;
+        world.submit(&job, 60.0).await;
+        secs(3.0).await;
+        // To it the rented machines are about to come up; to the next planner they do.
+        let planner = world.planner_node();
+        world.freeze(planner, 40.0).await;
+        assert_ne!(world.planner_node(), planner);
+        // And the store is out of its reach for a while yet.
+        world.net.cut(NODES[planner], "state");
+        secs(4.0).await;
+        world.net.heal(NODES[planner], "state");
+        secs(5.0).await;
+        assert_eq!(world.cloud.workers().len(), 4, "none was returned");
+        world.until_done(&job.id, 120.0).await;
+        for index in 0..30 {
+            assert_eq!(world.ledger.started(&task(&job, index)), 1);
+        }
+    });
+}
+
 #[test]
 fn a_zone_with_a_controller_that_is_cut_off_goes_on_or_lapses_and_doubles_nothing() {
     for planner_inside in [true, false] {
--- a/crates/fakes/src/cloud.rs
+++ b/crates/fakes/src/cloud.rs
@@ -30,6 +30,8 @@
     pub types: Vec<MachineType>,
     pub capacity: Cell<usize>,
     pub down: Cell<bool>,
+    /// How long machines take to come up.
+    pub boot_s: Cell<f64>,
     /// The answers to rentals are lost.
     pub lose_answers: Cell<bool>,
     machines: RefCell<BTreeMap<String, Rented>>,
@@ -47,6 +49,7 @@
         types: Vec<MachineType>,
         capacity: usize,
     ) -> Rc<Self> {
+        let boot_s = Cell::new(types[0].boot_s);
         Rc::new(Self {
             net,
             ledger,
@@ -54,6 +57,7 @@
             types,
             capacity: Cell::new(capacity),
             down: Cell::new(false),
+            boot_s,
             lose_answers: Cell::new(false),
             machines: RefCell::default(),
             bookings: RefCell::default(),
@@ -165,7 +169,7 @@
             return Response::new(503, b"{\"error\":\"no capacity\"}".to_vec());
         }
         self.rentals.set(self.rentals.get() + 1);
-        let boot_s = self.types[0].boot_s;
+        let boot_s = self.boot_s.get();
         let machines: Vec<String> =
             (0..count).map(|_| self.add(&request.zone, request.spot, boot_s)).collect();
         self.bookings.borrow_mut().insert(request.request.clone(), machines.clone());
