--- a/crates/corkfield/tests/meetings/users.rs
+++ b/crates/corkfield/tests/meetings/users.rs
@@ -1,18 +1,25 @@
 //! What users ask meets the end of a job.
 
 use crate::world::{secs, spec, story, NODES};
+use corkfield_fakes::Fault;
+use corkfield_wire::store::PATH_TXN;
 use corkfield_wire::user::PATH_CANCEL;
 
 #[test]
 fn a_cancellation_a_question_or_a_repeat_meets_the_end_of_the_last_task() {
-    for planner_ends in [false, true] {
+    for (planner_ends, slow_s) in [(false, 0.0), (true, 0.0), (false, 0.12), (true, 0.3)] {
         story(4, |world| async move {
+            // Between a read of the job and the write that ends it another one may come.
+            world.store.set_faults(move |request| match request.path() {
+                PATH_TXN if slow_s > 0.0 => Fault::Slow(slow_s),
+                _ => Fault::None,
+            });
             let mut asking = Vec::new();
             for number in 0..24u32 {
                 let job = spec(number + 1, 1 + number % 3);
                 world.submit(&job, 2.0).await;
                 // From before the end of the last task to after it was stored.
-                let wait = 1.9 + 0.06 * f64::from(number);
+                let wait = 1.9 + 3.0 * slow_s + 0.06 * f64::from(number);
                 let asker = world.clone();
                 asking.push(tokio::task::spawn_local(async move {
                     secs(wait).await;
@@ -20,12 +27,19 @@
                     let (id, verb) = (&job.id, (number % 2 == 0).then_some(PATH_CANCEL));
                     for round in 0..12 {
                         let at = (n + round) % NODES.len();
+                        // The answer to a cancellation may take its time; others ask meanwhile.
+                        let (patient, doomed) = (asker.clone(), id.clone());
+                        tokio::task::spawn_local(async move {
+                            patient.ask_about(at, &doomed, verb).await;
+                        });
                         tokio::join!(
-                            asker.ask_about(at, id, verb),
                             asker.ask_about((at + 1) % NODES.len(), id, None),
                             asker.submit_again((at + 2) % NODES.len(), &job),
                         );
-                        secs(0.15).await;
+                        for wait in [0.03, 0.04, 0.04, 0.04] {
+                            secs(wait).await;
+                            asker.ask_about((at + 1) % NODES.len(), id, None).await;
+                        }
                     }
                     let status = asker.status(id).await.expect("known");
                     if verb.is_some() {
@@ -46,3 +60,32 @@
         });
     }
 }
+
+#[test]
+fn a_cancellation_that_is_carried_out_after_the_end_is_answered_with_the_end() {
+    story(2, |world| async move {
+        world.store.set_faults(|request| {
+            let cancels = request.path() == PATH_TXN
+                && String::from_utf8_lossy(&request.body).contains("aborted");
+            if cancels {
+                Fault::Slow(1.2)
+            } else {
+                Fault::None
+            }
+        });
+        for number in 1..=8u32 {
+            let job = spec(number, 2);
+            world.submit(&job, 2.0).await;
+            secs(1.5 + 0.1 * f64::from(number)).await;
+            let (patient, doomed) = (world.clone(), job.id.clone());
+            let cancelling = tokio::task::spawn_local(async move {
+                patient.ask_about(number as usize % NODES.len(), &doomed, Some(PATH_CANCEL)).await
+            });
+            for round in 0..30 {
+                world.ask_about(round % NODES.len(), &job.id, None).await;
+                secs(0.05).await;
+            }
+            assert!(cancelling.await.expect("no panic").is_some_and(|status| status.is_final()));
+        }
+    });
+}
