--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -244,7 +244,19 @@
     /// the state service is away there is none.
     fn announce(&mut self, next: u32) {
         let begun = self.record.begun;
-        self.unannounced |= begun < self.spec().tasks && next >= begun - begun / 4;
+        self.unannounced |= begun > 0 && begun < self.spec().tasks && next >= begun - begun / 4;
+    }
+
+    /// Its record allows no start at all yet, nor is that about to change.
+    pub(crate) fn waits_unannounced(&self) -> bool {
+        self.may_start() && self.record.begun == 0 && !self.unannounced
+    }
+
+    /// Tasks that wait and may be started, at the least.
+    pub(crate) fn announced_waiting(&self) -> u32 {
+        let placed = u32::try_from(self.active.len()).unwrap_or(u32::MAX);
+        let allowed = self.spec().tasks.min(self.record.begun);
+        allowed.saturating_sub(self.finished.len()).saturating_sub(placed)
     }
 
     pub(crate) fn place(&mut self, index: u32, machine: &str, attempt: u64) {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -4,7 +4,7 @@
 use crate::machine::{Held, HeldState, Need};
 use crate::planner::{direct, Action, Planner};
 use crate::team::{is_limited, within_guarantee, within_limit, Usage};
-use corkfield_wire::{JobId, Priority, TaskId};
+use corkfield_wire::{JobId, JobSpec, Priority, TaskId};
 use rand::rngs::SmallRng;
 use rand::seq::index;
 use std::cmp::Ordering;
@@ -143,8 +143,21 @@
     /// machines have not shown what they hold, only tasks that no earlier owner can have started).
     fn queue(&mut self, usage: &[Usage], now: Instant) -> Vec<(JobId, u32)> {
         let fencing = !self.is_complete();
+        // Those that need not wait for room have their first starts announced at once.
+        let takes_room = |job: &Job| self.takes_room(job.spec(), usage);
+        let unannounced = self.jobs.iter().filter(|(_, job)| job.waits_unannounced());
+        let unannounced = unannounced.filter(|(_, job)| takes_room(job));
+        for id in unannounced.map(|(id, _)| id.clone()).collect::<Vec<JobId>>() {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.unannounced = true;
+            }
+        }
         let startable = self.jobs.iter_mut().filter(|(_, job)| job.may_start()).map(|(id, job)| {
-            let count = if job.waiting() > 0 { job.startable(fencing) } else { 0 };
+            let count = match job.waiting() {
+                0 => 0,
+                waiting if job.waits_unannounced() => waiting,
+                _ => job.startable(fencing),
+            };
             (id.clone(), count)
         });
         let startable: Vec<(JobId, u32)> = startable.filter(|(_, count)| *count > 0).collect();
@@ -217,6 +230,35 @@
         self.preempt(&mut usage, now);
     }
 
+    fn free_cpus(&self, now: Instant) -> f64 {
+        let silence = self.config.silence();
+        let working = self.machines.values().filter(|m| m.takes_work(now, silence));
+        working.filter_map(|m| m.free()).map(|free| free.cpus.max(0.0)).sum()
+    }
+
+    /// CPUs that are free beyond what waits for them and may be started.
+    fn spare_cpus(&self, now: Instant) -> f64 {
+        let waiting = self.jobs.values().filter(|job| job.may_start());
+        let waiting = waiting.map(|job| f64::from(job.announced_waiting()) * job.spec().cpus);
+        self.free_cpus(now) - waiting.sum::<f64>()
+    }
+
+    /// Whether others may be stopped for the job, so that it need not wait for room.
+    fn takes_room(&self, spec: &JobSpec, usage: &[Usage]) -> bool {
+        let team = self.config.teams.iter().position(|team| team.name == spec.team);
+        let guaranteed = |team: usize| {
+            let one = usage[team].plus(Usage::of(spec, 1));
+            within_guarantee(&self.config.teams[team], one)
+        };
+        spec.priority <= Priority::High || team.is_some_and(guaranteed)
+    }
+
+    /// Whether a job that is claimed now may be expected to begin soon.
+    pub fn may_begin_soon(&self, spec: &JobSpec, now: Instant) -> bool {
+        self.takes_room(spec, &self.usage())
+            || !self.jobs.values().any(|job| job.waits_unannounced()) && self.spare_cpus(now) > 0.0
+    }
+
     /// Jobs that are not urgent and of which nothing ran for long, the longest first.
     fn passed_over(&self, queue: &[(JobId, u32)], now: Instant) -> Vec<JobId> {
         let waiting = queue.iter().filter_map(|(id, _)| {
@@ -352,6 +394,13 @@
         if others.is_empty() {
             return;
         }
+        // There is room, so its record is to allow first starts. Not before: what a record allows
+        // counts as begun after a take-over, and then has to wait until all machines have shown
+        // what they hold, which takes long if a part of them is silent.
+        if job.waits_unannounced() {
+            job.unannounced = true;
+            return;
+        }
         let (mut slow, mut others): (Vec<usize>, Vec<usize>) =
             others.into_iter().partition(|n| rooms[*n].slow);
         let mut holding: Vec<usize> = Vec::new();
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -621,7 +621,11 @@
             .when(controller_key(&self.node.name), self.me.version);
         let mut claimed = Vec::new();
         for (mut record, version) in batch {
-            record.claim(self.me.incarnation.clone());
+            let owner = self.me.incarnation.clone();
+            match record.begun > 0 || self.planner.borrow().may_begin_soon(&record.spec, now()) {
+                true => record.claim(owner),
+                false => record.claim_to_wait(owner),
+            }
             if record.claims > self.node.settings.operator.claim_limit {
                 tracing::warn!(job = %record.spec.id, claims = record.claims, "claim limit reached; set aside");
                 record.set_aside = true;
--- a/crates/corkfield/tests/meetings/machines.rs
+++ b/crates/corkfield/tests/meetings/machines.rs
@@ -88,6 +88,29 @@
     }
 }
 
+#[test]
+fn work_that_nobody_began_waits_for_no_silent_machine_after_a_take_over() {
+    story(4, |world| async move {
+        let (long, next) = (spec(1, 32), spec(2, 10));
+        world.submit(&long, 300.0).await;
+        secs(5.0).await;
+        // There is no room for it yet.
+        world.submit(&next, 3.0).await;
+        secs(2.0).await;
+        world.cloud.down.set(true);
+        let worker = world.worker_of(&task(&long, 0));
+        worker.deaf.set(true);
+        let planner = world.planner_node();
+        world.restart(planner, 0.2).await;
+        world.cancel(&long.id).await;
+        let waited = world.until_done(&next.id, 60.0).await;
+        assert!(waited < 14.0, "{waited} s: no longer than if all machines had answered");
+        worker.deaf.set(false);
+        world.cloud.down.set(false);
+        secs(LEASE_S + 3.0).await;
+    });
+}
+
 #[test]
 fn jobs_that_must_stay_together_or_apart_do_so_through_take_overs_and_losses() {
     for seed in 0..3u32 {
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -107,11 +107,16 @@
 
     /// The design's claim: sets the owner, raises the generation and adds one to the count.
     pub fn claim(&mut self, owner: String) {
+        self.claim_to_wait(owner);
+        self.begin_more();
+    }
+
+    /// The same for a job that nothing of can start soon: no first start is announced.
+    pub fn claim_to_wait(&mut self, owner: String) {
         self.owner = Some(owner);
         self.generation += 1;
         self.claims += 1;
         self.begun_before = self.begun;
-        self.begin_more();
     }
 
     /// Makes room for more first starts: the more, the more there were.
