--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -38,8 +38,6 @@
 /// The others write nothing but what users send, little on average and much at once: so many
 /// seconds' worth may come together.
 const STANDBY_BURST_S: f64 = 5.0;
-/// A planner that looked at nothing for this long was stopped, or had no processor time.
-const STOOD_STILL: Duration = Duration::from_secs(2);
 /// Machines are rented and returned this often, or that soon after a claim.
 const ADJUST: Duration = Duration::from_secs(1);
 const ADJUST_SOON: Duration = Duration::from_millis(200);
@@ -158,7 +156,7 @@
         })
     }
 
-    /// Whether starts may leave (S4): the lease that the claim rests on surely goes on. A lease
+    /// Whether starts may leave (S4), and machines be returned: the lease that the claim rests on surely goes on. A lease
     /// that was lost and taken anew doesn't count for what was claimed before.
     pub fn may_start(&self, node: &Node) -> bool {
         let tenure = self.tenure.borrow();
@@ -728,6 +726,10 @@
                     rent(&node, &planner, &request).await;
                 });
             }
+            // Asked for again while it is due: see [`Leader::may_start`].
+            Action::Delete(names) if !node.leader.may_start(&node) => {
+                tracing::debug!(machines = names.len(), "not returned without a valid lease");
+            }
             Action::Delete(names) => {
                 tokio::task::spawn_local(async move {
                     match node.cloud.delete(names.clone()).await {
@@ -788,27 +790,20 @@
 
     async fn ticking(&self) {
         let mut adjusted = None;
-        let mut before = now();
         loop {
             // A claim is followed by a look at the machines without delay: boots take long.
             let claimed = self.claimed.notified();
             let woken = tokio::time::timeout(Duration::from_millis(250), claimed).await.is_ok();
-            if now().saturating_duration_since(before) > STOOD_STILL {
-                // Another may plan by now, with machines that to this process seem never to have
-                // come up, or to be idle: first it looks whether it is still the planner.
-                tracing::info!("stood still; reading the state service first");
-                while !self.node.follower.refresh(STOOD_STILL).await {}
-                if self.node.leader.is_replaced(&self.node.follower.cache.borrow()) {
-                    return std::future::pending().await;
-                }
-            }
-            before = now();
-            let at = before;
+            let at = now();
+            // Another may plan by now, with machines that from here seem idle, silent or never
+            // to have come up. While the service is out for all nobody can have taken over since.
+            let may_adjust =
+                self.node.leader.may_start(self.node) || self.node.peers.nobody_has_store();
             let mut planner = self.planner.borrow_mut();
             planner.tick(at);
             let age = adjusted.map(|before| at.saturating_duration_since(before));
             let due = if woken { ADJUST_SOON } else { ADJUST };
-            if age.is_none_or(|age| age >= due) {
+            if may_adjust && age.is_none_or(|age| age >= due) {
                 adjusted = Some(at);
                 planner.adjust_machines(at);
             }
--- a/crates/corkfield/src/peers.rs
+++ b/crates/corkfield/src/peers.rs
@@ -48,6 +48,15 @@
         self.heard.borrow().values().any(|(hello, at)| hello.store_ok && recent(at))
     }
 
+    /// Whether others were heard of, and none of them has answers from the state service: it is
+    /// out for all, and not for this controller alone.
+    pub fn nobody_has_store(&self) -> bool {
+        let recent = |at: &Instant| now().saturating_duration_since(*at) < SILENCE;
+        let heard = self.heard.borrow();
+        let mut others = heard.values().filter(|(_, at)| recent(at)).peekable();
+        others.peek().is_some() && others.all(|(hello, _)| !hello.store_ok)
+    }
+
     /// Other controllers that say they lead, or that the state service names as planner, and that
     /// there is a link to.
     pub fn leaders(&self, node: &Node) -> Vec<String> {
--- a/crates/corkfield/tests/meetings/leaders.rs
+++ b/crates/corkfield/tests/meetings/leaders.rs
@@ -1,6 +1,8 @@
 //! Changes of the planner, and what meets them.
 
 use crate::world::{secs, spec, story, task, LEASE_S, NODES};
+use corkfield_fakes::Fault;
+use corkfield_wire::store::{PATH_RENEW, PATH_WATCH};
 use corkfield_wire::JobStatus;
 
 #[test]
@@ -182,6 +184,44 @@
     });
 }
 
+#[test]
+fn a_planner_that_was_cut_off_from_all_returns_no_machine_when_the_cut_ends() {
+    for cut_s in [20.0, 45.0] {
+        story(4, |world| async move {
+            let mut job = spec(1, 30);
+            job.estimate_s = 60.0;
+            world.submit(&job, 90.0).await;
+            secs(5.0).await;
+            let planner = world.planner_node();
+            // The machines silent, it asks for others meanwhile.
+            world.cloud.lose_answers.set(true);
+            world.net.cut(NODES[planner], "*");
+            secs(cut_s).await;
+            assert_ne!(world.planner_node(), planner);
+            // It learns at once that its jobs are another's, so that nothing seems to need the
+            // machines, and only seconds later that another plans and its lease is lost.
+            world.store.set_faults(|request| {
+                let path = request.path();
+                if path == PATH_WATCH || path.ends_with(PATH_RENEW) {
+                    Fault::Drop
+                } else {
+                    Fault::None
+                }
+            });
+            world.net.heal(NODES[planner], "*");
+            secs(3.0).await;
+            world.store.clear_faults();
+            world.cloud.lose_answers.set(false);
+            secs(5.0).await;
+            assert_eq!(world.cloud.workers().len(), 4, "none was returned");
+            world.until_done(&job.id, 120.0).await;
+            for index in 0..30 {
+                assert_eq!(world.ledger.started(&task(&job, index)), 1);
+            }
+        });
+    }
+}
+
 #[test]
 fn a_zone_with_a_controller_that_is_cut_off_goes_on_or_lapses_and_doubles_nothing() {
     for planner_inside in [true, false] {
