In an outage of the store for all, work goes on while every other controller vouches

a_short_outage_of_the_store_stops_no_task_and_a_long_one_loses_no_job asserted that leases run out in an outage of 45 s. They do so now only if some controller can't vouch: the story kills one, and asserts what it did before. in_an_outage_for_all_work_goes_on_as_long_as_all_controllers_vouch has both, and three ways of not vouching.

--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -156,6 +156,11 @@
         })
     }
 
+    /// The term under which this controller plans.
+    pub fn term(&self) -> Option<u64> {
+        Some(self.planner()?.borrow().term())
+    }
+
     /// Whether starts may leave (S4), and machines be returned: the lease that the claim rests on surely goes on. A lease
     /// that was lost and taken anew doesn't count for what was claimed before.
     pub fn may_start(&self, node: &Node) -> bool {
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -27,6 +27,8 @@
     rng: RefCell<SmallRng>,
     pub settings: Settings,
     pub name: String,
+    /// Tells this process from others of the same controller.
+    pub process: u64,
     pub state: StateClient,
     pub cloud: CloudClient,
     pub follower: Follower,
@@ -99,6 +101,7 @@
     let users_listener = listen(&*network, platform.listen).await?;
     let peers_listener = listen(&*network, platform.peer_listen).await?;
     let node = Rc::new(Node {
+        process: SmallRng::seed_from_u64(!seed).random(),
         name: platform.node.clone(),
         state: StateClient::new(
             network.clone(),
--- a/crates/corkfield/src/notices.rs
+++ b/crates/corkfield/src/notices.rs
@@ -30,6 +30,8 @@
 #[derive(Default)]
 pub struct Notices {
     open: RefCell<BTreeMap<String, BTreeMap<JobId, Open>>>,
+    /// Controllers for which a notice was dropped unacknowledged, and when the last one was.
+    dropped: RefCell<BTreeMap<String, Instant>>,
     added: Notify,
     acknowledged: Notify,
 }
@@ -40,9 +42,23 @@
         let of_peer = open.entry(peer.to_owned()).or_default();
         if of_peer.len() < MAX_OPEN {
             of_peer.entry(id.clone()).or_insert(Open { since: now(), sent: None });
+        } else {
+            self.dropped.borrow_mut().insert(peer.to_owned(), now());
         }
     }
 
+    /// Whether that controller has acknowledged every cancellation that users of this one, since
+    /// its process began, were told of.
+    pub fn all_acknowledged(&self, peer: &str) -> bool {
+        self.open.borrow().get(peer).is_none_or(BTreeMap::is_empty)
+            && !self.dropped.borrow().contains_key(peer)
+    }
+
+    /// That controller read the state service after `since`: it knows of what was dropped before.
+    pub fn has_read(&self, peer: &str, since: Instant) {
+        self.dropped.borrow_mut().retain(|other, at| other != peer || *at >= since);
+    }
+
     fn is_open(&self, peer: &str, id: &JobId) -> bool {
         self.open.borrow().get(peer).is_some_and(|of_peer| of_peer.contains_key(id))
     }
@@ -62,7 +78,11 @@
         let at = now();
         let mut open = self.open.borrow_mut();
         let Some(of_peer) = open.get_mut(peer) else { return Vec::new() };
+        let before = of_peer.len();
         of_peer.retain(|_, notice| at.saturating_duration_since(notice.since) < keep);
+        if of_peer.len() < before {
+            self.dropped.borrow_mut().insert(peer.to_owned(), at);
+        }
         let due = of_peer.iter_mut().filter(|(_, notice)| {
             notice.sent.is_none_or(|sent| at.saturating_duration_since(sent) >= AGAIN)
         });
@@ -117,3 +137,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/corkfield/src/peers.rs
+++ b/crates/corkfield/src/peers.rs
@@ -6,7 +6,7 @@
 use corkfield_wire::peer::{Frame, Hello, MAX_FRAME};
 use corkfield_wire::JobId;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -26,9 +26,30 @@
 
 type Pending = oneshot::Sender<Response>;
 
+/// Greetings of which the time of sending is kept, for each peer.
+const MAX_SENT: usize = 32;
+
+/// What another controller said last.
+struct Heard {
+    hello: Hello,
+    at: Instant,
+    /// Since when it is the same process.
+    process_since: Instant,
+    /// It vouched for this controller, as the planner, at this moment or later.
+    vouched: Option<Instant>,
+}
+
+impl Heard {
+    fn is_recent(&self) -> bool {
+        now().saturating_duration_since(self.at) < SILENCE
+    }
+}
+
 #[derive(Default)]
 pub struct Peers {
-    heard: RefCell<BTreeMap<String, (Hello, Instant)>>,
+    heard: RefCell<BTreeMap<String, Heard>>,
+    /// Greetings sent to each, by number, and when.
+    sent: RefCell<BTreeMap<String, VecDeque<(u64, Instant)>>>,
     links: RefCell<BTreeMap<String, mpsc::Sender<Frame>>>,
     pending: RefCell<BTreeMap<u64, Pending>>,
     number: Cell<u64>,
@@ -36,25 +57,69 @@
 
 impl Peers {
     fn hear(&self, hello: Hello) {
+        let (node, at) = (hello.node.clone(), now());
         let mut heard = self.heard.borrow_mut();
-        if heard.len() < MAX_LINKS || heard.contains_key(&hello.node) {
-            heard.insert(hello.node.clone(), (hello, now()));
+        if heard.len() >= MAX_LINKS && !heard.contains_key(&node) {
+            return;
+        }
+        let before = heard.remove(&node).filter(|before| before.hello.process == hello.process);
+        let process_since = before.as_ref().map_or(at, |before| before.process_since);
+        let vouched = before.and_then(|before| before.vouched);
+        // It was sent after what it echoes had come, and so after that was sent.
+        let now_vouched = self.sent_at(&node, hello.echo).filter(|_| hello.vouches);
+        let vouched = vouched.max(now_vouched);
+        heard.insert(node, Heard { hello, at, process_since, vouched });
+    }
+
+    fn sent_at(&self, peer: &str, number: u64) -> Option<Instant> {
+        let sent = self.sent.borrow();
+        let (_, at) = sent.get(peer)?.iter().find(|(other, _)| *other == number)?;
+        Some(*at)
+    }
+
+    /// Notes that a greeting is sent; its number.
+    fn sends(&self, peer: &str) -> u64 {
+        let mut sent = self.sent.borrow_mut();
+        let to_peer = sent.entry(peer.to_owned()).or_default();
+        let number = to_peer.back().map_or(0, |(number, _)| *number) + 1;
+        to_peer.push_back((number, now()));
+        if to_peer.len() > MAX_SENT {
+            to_peer.pop_front();
+        }
+        number
+    }
+
+    /// How long ago all other controllers vouched that nobody else plans, and that this one heard
+    /// of all cancellations confirmed (S6). `None` if one of them didn't, or is another process
+    /// than when the state service was read last: what a process before it confirmed is not known.
+    pub fn vouched_age(&self, node: &Node) -> Option<Duration> {
+        let platform = &node.settings.platform;
+        let term = node.leader.term()?;
+        let read = node.follower.proven_at()?;
+        if platform.peers.len() + 1 < platform.params.size as usize {
+            return None;
         }
+        let heard = self.heard.borrow();
+        let vouched = platform.peers.iter().map(|peer| {
+            let heard = heard.get(&peer.node)?;
+            let counts = heard.hello.term == term && heard.process_since < read;
+            heard.vouched.filter(|_| counts)
+        });
+        let oldest = vouched.collect::<Option<Vec<Instant>>>()?.into_iter().min()?;
+        Some(now().saturating_duration_since(oldest))
     }
 
     /// Whether another controller has answers from the state service.
     pub fn somebody_has_store(&self) -> bool {
-        let recent = |at: &Instant| now().saturating_duration_since(*at) < SILENCE;
-        self.heard.borrow().values().any(|(hello, at)| hello.store_ok && recent(at))
+        self.heard.borrow().values().any(|heard| heard.hello.store_ok && heard.is_recent())
     }
 
     /// Whether others were heard of, and none of them has answers from the state service: it is
     /// out for all, and not for this controller alone.
     pub fn nobody_has_store(&self) -> bool {
-        let recent = |at: &Instant| now().saturating_duration_since(*at) < SILENCE;
         let heard = self.heard.borrow();
-        let mut others = heard.values().filter(|(_, at)| recent(at)).peekable();
-        others.peek().is_some() && others.all(|(hello, _)| !hello.store_ok)
+        let mut others = heard.values().filter(|heard| heard.is_recent()).peekable();
+        others.peek().is_some() && others.all(|heard| !heard.hello.store_ok)
     }
 
     /// Other controllers that say they lead, or that the state service names as planner, and that
@@ -62,12 +127,9 @@
     pub fn leaders(&self, node: &Node) -> Vec<String> {
         let cache = node.follower.cache.borrow();
         let planner = cache.planner.as_ref().and_then(|(record, _)| record.node.as_ref());
-        let recent = |at: &Instant| now().saturating_duration_since(*at) < SILENCE;
         let heard = self.heard.borrow();
-        let leading = |name: &String| {
-            planner == Some(name)
-                || heard.get(name).is_some_and(|(hello, at)| hello.leading && recent(at))
-        };
+        let says_so = |heard: &Heard| heard.hello.leading && heard.is_recent();
+        let leading = |name: &String| planner == Some(name) || heard.get(name).is_some_and(says_so);
         self.links.borrow().keys().filter(|name| leading(name)).cloned().collect()
     }
 
@@ -124,7 +186,16 @@
     let reading = async {
         while let Ok(Ok(Some(frame))) = timeout(SILENCE * 2, read_frame(&mut reader)).await {
             match frame {
-                Frame::Hello(hello) => node.peers.hear(hello),
+                Frame::Hello(hello) => {
+                    // Its newest read was begun no longer ago than that.
+                    let said = node.peers.sent_at(&hello.node, hello.echo);
+                    let read =
+                        said.filter(|_| hello.store_ok).and_then(|at| at.checked_sub(SILENCE));
+                    if let Some(read) = read {
+                        node.notices.has_read(&hello.node, read);
+                    }
+                    node.peers.hear(hello);
+                }
                 Frame::Report { number, body } => {
                     let (node, answers) = (node.clone(), answers.clone());
                     tokio::task::spawn_local(async move {
@@ -155,7 +226,7 @@
             let (frames, waiting) = mpsc::channel(MAX_WAITING);
             node.peers.links.borrow_mut().insert(peer.clone(), frames.clone());
             let greeting = async {
-                while frames.try_send(Frame::Hello(hello(&node))).is_ok() {
+                while frames.try_send(Frame::Hello(hello(&node, &peer))).is_ok() {
                     tokio::time::sleep(INTERVAL).await;
                 }
             };
@@ -208,12 +279,22 @@
     }
 }
 
-fn hello(node: &Node) -> Hello {
+fn hello(node: &Node, to: &str) -> Hello {
     let cache = node.follower.cache.borrow();
     let planner = cache.planner.as_ref().map(|(record, _)| record);
+    let echo = node.peers.heard.borrow().get(to).map_or(0, |heard| heard.hello.number);
+    let vouches = node.follower.is_synced()
+        && node.follower.proof_age() > SILENCE
+        && !node.leader.is_leading()
+        && planner.is_some_and(|planner| planner.node.as_deref() == Some(to))
+        && node.notices.all_acknowledged(to);
     Hello {
         node: node.name.clone(),
         incarnation: node.presence.current().map(|c| c.incarnation).unwrap_or_default(),
+        process: node.process,
+        number: node.peers.sends(to),
+        echo,
+        vouches,
         leading: node.leader.is_leading(),
         store_ok: node.follower.proof_age() < SILENCE,
         planner: planner.and_then(|p| p.node.clone()),
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -160,10 +160,13 @@
 }
 
 /// S6: whether a report may be answered with 200. That rests on state that was fresh a while ago,
-/// and that shows no other planner.
+/// or, while the state service is out for all, on the word of all other controllers; and it shows
+/// no other planner.
 fn may_answer(node: &Node) -> bool {
-    node.follower.proof_age() < node.settings.answer_limit()
-        && !node.leader.is_replaced(&node.follower.cache.borrow())
+    let limit = node.settings.answer_limit();
+    let fresh = node.follower.proof_age() < limit
+        || node.peers.vouched_age(node).is_some_and(|age| age < limit);
+    fresh && !node.leader.is_replaced(&node.follower.cache.borrow())
 }
 
 /// The planner, if it is another controller that is there.
--- a/crates/corkfield/tests/meetings/gap.rs
+++ b/crates/corkfield/tests/meetings/gap.rs
@@ -102,6 +102,75 @@
     }
 }
 
+#[test]
+fn in_an_outage_for_all_work_goes_on_as_long_as_all_controllers_vouch() {
+    // One restarts, is gone, or is cut off from the planner: then none may go on.
+    for trouble in [None, Some("restart"), Some("gone"), Some("cut")] {
+        story(2, |world| async move {
+            let job = spec(1, 12);
+            world.submit(&job, 70.0).await;
+            secs(5.0).await;
+            let planner = world.planner_node();
+            let other = world.others(planner)[0];
+            world.store.set_down(true);
+            secs(6.0).await;
+            match trouble {
+                Some("restart") => world.restart(other, 0.1).await,
+                Some("gone") => world.kill(other),
+                Some(_) => world.net.cut(NODES[planner], NODES[other]),
+                None => {}
+            }
+            secs(50.0).await;
+            let running = world.ledger.running(&job.id);
+            assert_eq!(running, if trouble.is_none() { 12 } else { 0 }, "{trouble:?}");
+            world.net.heal(NODES[planner], NODES[other]);
+            if trouble == Some("gone") {
+                world.start(other);
+            }
+            world.store.set_down(false);
+            world.until_done(&job.id, 150.0).await;
+            let once = (0..12).all(|n| world.ledger.started(&task(&job, n)) == 1);
+            assert_eq!(once, trouble.is_none());
+        });
+    }
+}
+
+#[test]
+fn who_confirmed_a_cancellation_that_the_planner_did_not_hear_of_does_not_vouch() {
+    // Its notice comes late, or is lost with its process; the links are whole again meanwhile.
+    for restarts in [false, true] {
+        for healed_s in [0.5, 8.0, 20.0] {
+            story(3, |world| async move {
+                let job = spec(1, 4);
+                world.submit(&job, 400.0).await;
+                secs(5.0).await;
+                let planner = world.planner_node();
+                let other = world.others(planner)[0];
+                world.part(planner, true);
+                world.refused[planner].set(true);
+                secs(0.3).await;
+                world.cancel_at(other, &job.id).await;
+                let confirmed = tokio::time::Instant::now();
+                if restarts {
+                    // The next process reads the store, but not what the one before confirmed.
+                    world.restart(other, 0.05).await;
+                    secs(2.5).await;
+                }
+                world.store.set_down(true);
+                world.refused[planner].set(false);
+                secs(healed_s).await;
+                world.part(planner, false);
+                secs(CANCEL_S - confirmed.elapsed().as_secs_f64() - 0.1).await;
+                assert_eq!(world.ledger.running(&job.id), 0);
+                secs(20.0).await;
+                world.store.set_down(false);
+                secs(5.0).await;
+                assert_eq!(world.status(&job.id).await, Some(JobStatus::Cancelled));
+            });
+        }
+    }
+}
+
 #[test]
 fn without_a_young_proof_nothing_is_started() {
     story(2, |world| async move {
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -334,10 +334,14 @@
         let long = spec(2, 12);
         world.submit(&long, 60.0).await;
         secs(5.0).await;
+        // One that might know of a cancellation can't be asked.
+        let other = world.others(world.planner_node())[0];
+        world.kill(other);
         world.store.set_down(true);
         secs(45.0).await;
         assert_eq!(world.ledger.running(&long.id), 0, "without fresh state, leases run out (S6)");
         world.store.set_down(false);
+        world.start(other);
         world.until_done(&long.id, 150.0).await;
     });
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -11,6 +11,14 @@
 pub struct Hello {
     pub node: String,
     pub incarnation: String,
+    /// Drawn anew by each process.
+    pub process: u64,
+    /// Counts the greetings sent to this receiver, and says which of its own was the last to come.
+    pub number: u64,
+    pub echo: u64,
+    /// The sender has had no answer from the state service for a while, knows of no planner but the
+    /// receiver, and every cancellation that it told a user of was acknowledged by the receiver.
+    pub vouches: bool,
     /// It plans, or takes itself for the planner.
     pub leading: bool,
     /// The state service answered this controller a moment ago.
