--- a/crates/corkfield/tests/meetings/users.rs
+++ b/crates/corkfield/tests/meetings/users.rs
@@ -2,8 +2,11 @@
 
 use crate::world::{secs, spec, story, NODES};
 use corkfield_fakes::Fault;
-use corkfield_wire::store::PATH_TXN;
+use corkfield_wire::store::{Txn, PATH_TXN};
 use corkfield_wire::user::PATH_CANCEL;
+use corkfield_wire::{JobSpec, Priority};
+use std::cell::Cell;
+use std::rc::Rc;
 
 #[test]
 fn a_cancellation_a_question_or_a_repeat_meets_the_end_of_the_last_task() {
@@ -89,3 +92,61 @@
         }
     });
 }
+
+/// Guests bring a swarm of tiny jobs, one huge array and spare-time work of minutes, and everybody
+/// asks many times as often as usual.
+#[test]
+fn a_swarm_a_huge_array_and_spare_time_work_starve_nobody_under_a_storm_of_polls() {
+    story(4, |world| async move {
+        let writes = Rc::new(Cell::new(0usize));
+        let counted = writes.clone();
+        world.store.set_faults(move |request| {
+            if request.path() == PATH_TXN {
+                let txn: Txn = serde_json::from_slice(&request.body).unwrap_or_default();
+                counted.set(counted.get() + txn.changes.len());
+            }
+            Fault::None
+        });
+        let mut huge = spec(1, 2000);
+        (huge.cpus, huge.memory_gb) = (0.25, 0.2);
+        world.submit(&huge, 1.0).await;
+        let mut spare = spec(2, 20);
+        spare.priority = Priority::Low;
+        world.submit(&spare, 60.0).await;
+        let swarm: Vec<JobSpec> = (100..250)
+            .map(|number| JobSpec { cpus: 0.25, memory_gb: 0.1, ..spec(number, 1) })
+            .collect();
+        let usual: Vec<JobSpec> = (3..9).map(|number| spec(number, 10)).collect();
+        let urgent = JobSpec { priority: Priority::High, cpus: 4.0, ..spec(9, 2) };
+        for job in swarm.iter().chain(&usual).chain([&urgent]) {
+            world.submit(job, 2.0).await;
+        }
+        let begun = tokio::time::Instant::now();
+        let (asked, late) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        for round in 0..150usize {
+            for job in swarm.iter().chain(&usual).skip(round % 5).step_by(5) {
+                let (asker, id) = (world.clone(), job.id.clone());
+                let (asked, late) = (asked.clone(), late.clone());
+                tokio::task::spawn_local(async move {
+                    let at = tokio::time::Instant::now();
+                    let told = asker.ask_about(round % NODES.len(), &id, None).await;
+                    asked.set(asked.get() + 1);
+                    if told.is_none() || at.elapsed().as_secs_f64() > 2.0 {
+                        late.set(late.get() + 1);
+                    }
+                });
+            }
+            secs(0.1).await;
+        }
+        world.until_done(&urgent.id, 30.0).await;
+        for job in swarm.iter().chain(&usual).chain([&huge, &spare]) {
+            world.until_done(&job.id, 240.0).await;
+        }
+        let seconds = begun.elapsed().as_secs_f64();
+        assert!(seconds < 240.0, "{seconds} s");
+        assert!(late.get() * 50 < asked.get(), "{} of {} in vain", late.get(), asked.get());
+        // A tiny job is accepted, claimed and ended; what else it costs is less than that.
+        let per_job = writes.get() as f64 / (swarm.len() + usual.len() + 3) as f64;
+        assert!(per_job < 7.0, "{per_job} changes a job");
+    });
+}
