--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -49,7 +49,7 @@
     spot: bool,
     /// Failed its last task, or is slow: gets one at a time until one completes well.
     probing: bool,
-    /// Takes work only where there is no other room.
+    /// Left to jobs of which nothing runs, where there is no other room for them.
     slow: bool,
     /// Kept for work of higher priority, whether it is free yet or not.
     reserved: Need,
@@ -303,7 +303,8 @@
                 continue;
             }
             // Left out altogether, a machine that is slow no more, or was taken for slow by
-            // mistake, would never show it, and work would wait beside it for ever.
+            // mistake, would never show it, and work would wait beside it for ever. So it is left
+            // to jobs of which nothing runs.
             let slow = machine.is_slow();
             let probing = machine.failures > 0 || slow;
             let Some(free) = machine.free().filter(|_| !probing || machine.is_empty()) else {
@@ -403,6 +404,9 @@
         }
         let (mut slow, mut others): (Vec<usize>, Vec<usize>) =
             others.into_iter().partition(|n| rooms[*n].slow);
+        if reach != Reach::One {
+            slow.clear();
+        }
         let mut holding: Vec<usize> = Vec::new();
         let with_image = by_image.entry(spec.image.clone()).or_default();
         if !with_image.is_empty() {
