A voucher counts only if it echoes a greeting of the planner's own process

Found by reading: greetings are numbered anew by each process, so a voucher held back since before a restart could name a number that the new process had used meanwhile, and so seem younger than it is.

--- a/crates/corkfield/src/peers.rs
+++ b/crates/corkfield/src/peers.rs
@@ -56,7 +56,7 @@
 }
 
 impl Peers {
-    fn hear(&self, hello: Hello) {
+    fn hear(&self, hello: Hello, echoed: Option<Instant>) {
         let (node, at) = (hello.node.clone(), now());
         let mut heard = self.heard.borrow_mut();
         if heard.len() >= MAX_LINKS && !heard.contains_key(&node) {
@@ -66,15 +66,16 @@
         let process_since = before.as_ref().map_or(at, |before| before.process_since);
         let vouched = before.and_then(|before| before.vouched);
         // It was sent after what it echoes had come, and so after that was sent.
-        let now_vouched = self.sent_at(&node, hello.echo).filter(|_| hello.vouches);
-        let vouched = vouched.max(now_vouched);
+        let vouched = vouched.max(echoed.filter(|_| hello.vouches));
         heard.insert(node, Heard { hello, at, process_since, vouched });
     }
 
-    fn sent_at(&self, peer: &str, number: u64) -> Option<Instant> {
+    /// When the greeting that this one echoes was sent. One to a process before this one, with the
+    /// same number, says nothing.
+    fn echoed(&self, hello: &Hello, process: u64) -> Option<Instant> {
         let sent = self.sent.borrow();
-        let (_, at) = sent.get(peer)?.iter().find(|(other, _)| *other == number)?;
-        Some(*at)
+        let (_, at) = sent.get(&hello.node)?.iter().find(|(number, _)| *number == hello.echo)?;
+        (hello.echo_process == process).then_some(*at)
     }
 
     /// Notes that a greeting is sent; its number.
@@ -188,13 +189,13 @@
             match frame {
                 Frame::Hello(hello) => {
                     // Its newest read was begun no longer ago than that.
-                    let said = node.peers.sent_at(&hello.node, hello.echo);
+                    let echoed = node.peers.echoed(&hello, node.process);
                     let read =
-                        said.filter(|_| hello.store_ok).and_then(|at| at.checked_sub(SILENCE));
+                        echoed.filter(|_| hello.store_ok).and_then(|at| at.checked_sub(SILENCE));
                     if let Some(read) = read {
                         node.notices.has_read(&hello.node, read);
                     }
-                    node.peers.hear(hello);
+                    node.peers.hear(hello, echoed);
                 }
                 Frame::Report { number, body } => {
                     let (node, answers) = (node.clone(), answers.clone());
@@ -282,7 +283,10 @@
 fn hello(node: &Node, to: &str) -> Hello {
     let cache = node.follower.cache.borrow();
     let planner = cache.planner.as_ref().map(|(record, _)| record);
-    let echo = node.peers.heard.borrow().get(to).map_or(0, |heard| heard.hello.number);
+    let (echo, echo_process) = {
+        let heard = node.peers.heard.borrow();
+        heard.get(to).map_or((0, 0), |heard| (heard.hello.number, heard.hello.process))
+    };
     let vouches = node.follower.is_synced()
         && node.follower.proof_age() > SILENCE
         && !node.leader.is_leading()
@@ -294,6 +298,7 @@
         process: node.process,
         number: node.peers.sends(to),
         echo,
+        echo_process,
         vouches,
         leading: node.leader.is_leading(),
         store_ok: node.follower.proof_age() < SILENCE,
@@ -301,3 +306,6 @@
         term: planner.map_or(0, |p| p.term),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -13,9 +13,11 @@
     pub incarnation: String,
     /// Drawn anew by each process.
     pub process: u64,
-    /// Counts the greetings sent to this receiver, and says which of its own was the last to come.
+    /// Counts the greetings sent to this receiver, and says which of its own was the last to come,
+    /// and of which of its processes.
     pub number: u64,
     pub echo: u64,
+    pub echo_process: u64,
     /// The sender has had no answer from the state service for a while, knows of no planner but the
     /// receiver, and every cancellation that it told a user of was acknowledged by the receiver.
     pub vouches: bool,
