One rule for the machines a job allows, one pricing of offers, one check of what ran once

Read once more: the same condition on type, zone and kind stood in three places, the price for each CPU in two loops, and urgency was compared where Job has a word for it. The stories' loops over started tasks share one assertion, as strict as before. No behaviour changes.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -206,6 +206,13 @@
     }
 }
 
+/// Whether a job may run on machines of that type, in that zone and of that kind.
+pub(crate) fn allows(spec: &JobSpec, type_name: &str, zone: &str, spot: bool) -> bool {
+    (spec.spot || !spot)
+        && spec.types.as_ref().is_none_or(|names| names.iter().any(|name| name == type_name))
+        && spec.zone.as_ref().is_none_or(|only| only == zone)
+}
+
 #[derive(Debug)]
 pub struct Machine {
     pub name: String,
@@ -395,9 +402,7 @@
     }
 
     pub(crate) fn allows(&self, spec: &JobSpec) -> bool {
-        (spec.spot || !self.spot)
-            && spec.types.as_ref().is_none_or(|names| names.contains(&self.type_name))
-            && spec.zone.as_ref().is_none_or(|zone| *zone == self.zone)
+        allows(spec, &self.type_name, &self.zone, self.spot)
     }
 
     /// Notes an image as the most recently used; older ones fall out of the cache.
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -127,7 +127,7 @@
         });
         let one = usage[job.team].plus(Usage::of(job.spec(), 1));
         Rank {
-            urgent: job.spec().priority <= Priority::High,
+            urgent: job.is_urgent(),
             starved: job.has_not_begun()
                 && now.saturating_duration_since(job.accepted_at) > STARVED_AFTER,
             guaranteed: within_guarantee(&self.config.teams[job.team], one),
@@ -701,7 +701,7 @@
         }
         let ran = now.saturating_duration_since(held.since).as_secs_f64();
         // Starts that are soon undone help nobody.
-        if job.spec().priority > Priority::High && ran < SETTLING_IN_S {
+        if !job.is_urgent() && ran < SETTLING_IN_S {
             return None;
         }
         // A task far beyond its expected time tells nothing about its end.
@@ -737,7 +737,7 @@
     /// stands before it: otherwise each would be placed before the other and stopped for it,
     /// again and again.
     fn standing(&self, job: &Job, usage: Usage) -> (bool, bool, Priority) {
-        let urgent = job.spec().priority <= Priority::High;
+        let urgent = job.is_urgent();
         let guaranteed = within_guarantee(&self.config.teams[job.team], usage);
         (!urgent, !guaranteed, job.spec().priority)
     }
--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -1,7 +1,7 @@
 //! Renting and returning machines.
 
 use crate::job::Job;
-use crate::machine::{Hearing, Machine, MachineState};
+use crate::machine::{allows, Hearing, Machine, MachineState};
 use crate::planner::{Action, Planner};
 use corkfield_wire::cloud::{MachineType, RentRequest, MAX_RENT};
 use corkfield_wire::JobSpec;
@@ -26,6 +26,9 @@
 /// Machine type, zone, and whether it is a spot machine.
 type Offer = (String, String, bool);
 
+/// An offer with its price for each CPU: whether spot machines, their type and zone.
+type Priced = (f64, bool, MachineType, String);
+
 pub(crate) struct Renting {
     term: u64,
     requests: u64,
@@ -49,9 +52,7 @@
 
 /// Whether tasks of the job may run on such a machine.
 fn fits(spec: &JobSpec, kind: &MachineType, zone: &str, spot: bool) -> bool {
-    (spec.spot || !spot)
-        && spec.types.as_ref().is_none_or(|names| names.contains(&kind.name))
-        && spec.zone.as_ref().is_none_or(|z| z == zone)
+    allows(spec, &kind.name, zone, spot)
         && spec.cpus <= kind.cpus
         && spec.gpus <= kind.gpus
         && spec.memory_gb <= kind.memory_gb
@@ -59,9 +60,7 @@
 
 /// Whether a rental under way brings machines that the job allows.
 fn suits(spec: &JobSpec, rental: &RentRequest) -> bool {
-    (spec.spot || !rental.spot)
-        && spec.types.as_ref().is_none_or(|names| names.contains(&rental.machine_type))
-        && spec.zone.as_ref().is_none_or(|zone| *zone == rental.zone)
+    allows(spec, &rental.machine_type, &rental.zone, rental.spot)
 }
 
 /// Whether dear machines are not needed beside so many cheap ones.
@@ -230,8 +229,9 @@
             self.machines.values().filter(working).filter_map(cpus).sum::<f64>()
         };
         let (cheap, dear_cpus) = (coming(true), coming(false));
-        let mut offers: Vec<(f64, bool, MachineType, String)> = Vec::new();
-        for (kind, zone, spot) in self.open_offers(now) {
+        let mut offers = self.open_offers(now);
+        offers.retain(|(_, spot, kind, zone)| {
+            let spot = *spot;
             // It would be returned as soon as it is up.
             let dear = !spot
                 && want <= spot_want
@@ -239,12 +239,8 @@
                 && kind.price > DEAR * kind.spot_price
                 && enough_cheap(cheap, dear_cpus + kind.cpus, want);
             let useful = if spot { spot_want > 0.0 } else { !dear };
-            if !useful || !self.somebody_fits(&kind, &zone, spot) {
-                continue;
-            }
-            let price = if spot { kind.spot_price } else { kind.price };
-            offers.push((price / kind.cpus.max(0.1), spot, kind, zone));
-        }
+            useful && self.somebody_fits(kind, zone, spot)
+        });
         self.ask_for(missing, offers);
     }
 
@@ -269,19 +265,14 @@
             if missing <= 0.0 {
                 continue;
             }
-            let mut offers = Vec::new();
-            for (kind, zone, spot) in self.open_offers(now) {
-                if fits(&spec, &kind, &zone, spot) {
-                    let price = if spot { kind.spot_price } else { kind.price };
-                    offers.push((price / kind.cpus.max(0.1), spot, kind, zone));
-                }
-            }
+            let mut offers = self.open_offers(now);
+            offers.retain(|(_, spot, kind, zone)| fits(&spec, kind, zone, *spot));
             self.ask_for(missing, offers);
         }
     }
 
     /// Offers that were not refused lately and are not asked for at the moment.
-    fn open_offers(&self, now: Instant) -> Vec<(MachineType, String, bool)> {
+    fn open_offers(&self, now: Instant) -> Vec<Priced> {
         let mut open = Vec::new();
         for kind in &self.types {
             for zone in &kind.zones {
@@ -293,7 +284,9 @@
                         (&r.machine_type, &r.zone, r.spot) == (&offer.0, &offer.1, offer.2)
                     });
                     if !waits && !under_way {
-                        open.push((kind.clone(), zone.clone(), spot));
+                        let price = if spot { kind.spot_price } else { kind.price };
+                        let a_cpu = price / kind.cpus.max(0.1);
+                        open.push((a_cpu, spot, kind.clone(), zone.clone()));
                     }
                 }
             }
@@ -302,7 +295,7 @@
     }
 
     /// Asks for machines worth so many CPUs, the cheapest offers first.
-    fn ask_for(&mut self, mut missing: f64, mut offers: Vec<(f64, bool, MachineType, String)>) {
+    fn ask_for(&mut self, mut missing: f64, mut offers: Vec<Priced>) {
         offers.sort_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(std::cmp::Ordering::Equal));
         for n in 0..offers.len() {
             if missing <= 0.0 {
--- a/crates/corkfield/src/leader.rs
+++ b/crates/corkfield/src/leader.rs
@@ -161,8 +161,8 @@
         Some(self.planner()?.borrow().term())
     }
 
-    /// Whether starts may leave (S4), and machines be returned: the lease that the claim rests on surely goes on. A lease
-    /// that was lost and taken anew doesn't count for what was claimed before.
+    /// Whether starts may leave (S4), and machines be returned: the lease that the claim rests on
+    /// surely goes on. One that was lost and taken anew doesn't count for what was claimed before.
     pub fn may_start(&self, node: &Node) -> bool {
         let tenure = self.tenure.borrow();
         let Some(tenure) = tenure.as_ref() else { return false };
--- a/crates/corkfield/src/notices.rs
+++ b/crates/corkfield/src/notices.rs
@@ -95,7 +95,7 @@
     }
 
     /// A new link: whatever went over the one before may be lost.
-    pub fn link_opened(&self, peer: &str) {
+    fn link_opened(&self, peer: &str) {
         if let Some(of_peer) = self.open.borrow_mut().get_mut(peer) {
             of_peer.values_mut().for_each(|notice| notice.sent = None);
         }
--- a/crates/corkfield/tests/meetings/leaders.rs
+++ b/crates/corkfield/tests/meetings/leaders.rs
@@ -184,9 +184,7 @@
         secs(5.0).await;
         assert_eq!(world.cloud.workers().len(), 4, "none was returned");
         world.until_done(&job.id, 120.0).await;
-        for index in 0..30 {
-            assert_eq!(world.ledger.started(&task(&job, index)), 1);
-        }
+        world.assert_started_once(&job, "nothing was started again");
     });
 }
 
@@ -221,9 +219,7 @@
             secs(5.0).await;
             assert_eq!(world.cloud.workers().len(), 4, "none was returned");
             world.until_done(&job.id, 120.0).await;
-            for index in 0..30 {
-                assert_eq!(world.ledger.started(&task(&job, index)), 1);
-            }
+            world.assert_started_once(&job, "nothing was started again");
         });
     }
 }
@@ -291,9 +287,7 @@
             secs(6.0).await;
             world.others(last).into_iter().for_each(|n| world.start(n));
             world.until_done(&job.id, 150.0).await;
-            for index in 0..14 {
-                assert_eq!(world.ledger.started(&task(&job, index)), 1, "no lease ran out");
-            }
+            world.assert_started_once(&job, "no lease ran out");
         });
     }
 }
@@ -320,9 +314,7 @@
             }
             for job in &jobs {
                 world.until_done(&job.id, 120.0).await;
-                for index in 0..job.tasks {
-                    assert_eq!(world.ledger.started(&task(job, index)), 1);
-                }
+                world.assert_started_once(job, "nothing was started again");
             }
         });
     }
--- a/crates/corkfield/tests/stories.rs
+++ b/crates/corkfield/tests/stories.rs
@@ -213,9 +213,7 @@
         world.until_done(&job.id, 90.0).await;
         world.refused[old].set(false);
         world.until_done(&next.id, 90.0).await;
-        for index in 0..24 {
-            assert_eq!(world.ledger.started(&task(&job, index)), 1);
-        }
+        world.assert_started_once(&job, "nothing was started again");
     });
 }
 
@@ -286,9 +284,7 @@
         secs(LEASE_S).await;
         assert_ne!(world.planner_node(), old);
         world.until_done(&job.id, 60.0).await;
-        for index in 0..10 {
-            assert_eq!(world.ledger.started(&task(&job, index)), 1, "no lease ran out");
-        }
+        world.assert_started_once(&job, "no lease ran out");
         // What the cut held back arrives now, and does no harm.
         for machine in &machines {
             world.net.heal(NODES[old], machine);
@@ -328,9 +324,7 @@
         secs(9.0).await;
         world.store.set_down(false);
         world.until_done(&short.id, 60.0).await;
-        for index in 0..12 {
-            assert_eq!(world.ledger.started(&task(&short, index)), 1);
-        }
+        world.assert_started_once(&short, "nothing was started again");
         let long = spec(2, 12);
         world.submit(&long, 60.0).await;
         secs(5.0).await;
--- a/crates/corkfield/tests/world/mod.rs
+++ b/crates/corkfield/tests/world/mod.rs
@@ -239,6 +239,13 @@
         }
     }
 
+    /// Each task of the job was started, and none a second time.
+    pub fn assert_started_once(&self, job: &JobSpec, why: &str) {
+        for index in 0..job.tasks {
+            assert_eq!(self.ledger.started(&task(job, index)), 1, "{why}");
+        }
+    }
+
     /// The worker of the machine that a task is on.
     pub fn worker_of(&self, task: &TaskId) -> Rc<FakeWorker> {
         let machine = self.ledger.machine_of(task).expect("the task is on a machine");
