--- /dev/null
+++ b/crates/corkfield/tests/combined_faults/late_commands.rs
@@ -0,0 +1,93 @@
+//! Direct commands that are held up and carried out after newer ones, and copies of reports that
+//! reach a planner as it begins.
+
+use crate::cluster::{scenario, secs, spec, Cluster, LEASE_S, NODES};
+use corkfield_wire::worker::PATH_REPORT;
+use corkfield_wire::JobSpec;
+use std::rc::Rc;
+
+#[test]
+fn held_up_commands_of_a_replaced_planner_stop_nothing_that_its_successor_started() {
+    for delay_s in [2.0, 5.0, 9.0, 16.0] {
+        for restart_s in [0.1, 3.0] {
+            scenario(3, |cluster| async move {
+                let kept = spec(1, 60);
+                cluster.submit(&kept, 6.0).await;
+                let cancelled: Vec<JobSpec> = (2..6).map(|number| spec(number, 3)).collect();
+                for job in &cancelled {
+                    cluster.submit(job, 200.0).await;
+                }
+                secs(4.0).await;
+                let workers = cluster.cloud.workers();
+                workers.iter().for_each(|worker| worker.command_delay_s.set(Some(delay_s)));
+                for job in &cancelled {
+                    cluster.cancel(&job.id).await;
+                    cluster.restart(cluster.planner_node(), restart_s).await;
+                    secs(1.5).await;
+                }
+                secs(delay_s).await;
+                workers.iter().for_each(|worker| worker.command_delay_s.set(None));
+                cluster.until_done(&kept.id, 120.0).await;
+                secs(LEASE_S).await;
+                for job in &cancelled {
+                    assert_eq!(cluster.ledger.running(&job.id), 0);
+                }
+                let late: u32 = workers.iter().map(|worker| worker.delayed_commands()).sum();
+                assert!(late > 0, "no command was carried out late");
+                cluster.assert_started_once(&kept, "late stops name attempts that are gone");
+            });
+        }
+    }
+}
+
+/// Sends copies of the reports that workers sent before to every controller.
+async fn send_copies(cluster: &Rc<Cluster>, copies: &[Vec<u8>]) {
+    for copy in copies {
+        for node in 0..NODES.len() {
+            let (sender, copy) = (cluster.clone(), copy.clone());
+            tokio::task::spawn_local(async move {
+                sender.ask(node, "POST", PATH_REPORT, &copy).await;
+            });
+        }
+    }
+}
+
+#[test]
+fn copies_of_reports_that_meet_a_new_planner_prove_nothing() {
+    for wait_s in [0.0, 0.4, 1.5, 4.0] {
+        for kept_reports in [1, 6, 40] {
+            scenario(3, |cluster| async move {
+                let (short, long) = (spec(1, 40), spec(2, 8));
+                cluster.submit(&short, 2.5).await;
+                cluster.submit(&long, 25.0).await;
+                secs(6.0).await;
+                for _ in 0..2 {
+                    let workers = cluster.cloud.workers();
+                    // One of them hangs, so that only copies speak for it.
+                    workers[0].set_hung(true);
+                    let copies: Vec<Vec<u8>> = workers
+                        .iter()
+                        .flat_map(|worker| {
+                            let sent = worker.sent_reports();
+                            let first = sent.len().saturating_sub(kept_reports);
+                            sent[first..].to_vec()
+                        })
+                        .collect();
+                    let term = cluster.planner().map_or(0, |(_, term)| term);
+                    cluster.restart(cluster.planner_node(), 0.1).await;
+                    while cluster.planner().is_none_or(|(_, now)| now == term) {
+                        secs(0.05).await;
+                    }
+                    secs(wait_s).await;
+                    send_copies(&cluster, &copies).await;
+                    secs(5.0).await;
+                    workers[0].set_hung(false);
+                    secs(4.0).await;
+                }
+                for job in [&short, &long] {
+                    cluster.until_done(&job.id, 120.0).await;
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/corkfield/tests/combined_faults/lost_answers.rs
@@ -0,0 +1,159 @@
+//! Transactions that are carried out at once while only their answers are lost.
+
+use crate::cluster::{scenario, secs, spec, Cluster, LEASE_S, NODES};
+use corkfield_fakes::Fault;
+use corkfield_wire::records::{CONTROLLERS, FINALS, JOBS, MACHINES, PLANNER};
+use corkfield_wire::store::{Change, Txn, PATH_TXN};
+use corkfield_wire::user::PATH_CANCEL;
+use corkfield_wire::JobStatus;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// What a transaction commits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Commit {
+    Acceptance,
+    Cancellation,
+    Claim,
+    Completion,
+    MachineRecord,
+    HandOver,
+    Presence,
+}
+
+fn commits(txn: &Txn, commit: Commit) -> bool {
+    txn.changes.iter().any(|change| {
+        let Change::Put { key, value, .. } = change else { return false };
+        let status = value["status"].as_str().unwrap_or("");
+        match commit {
+            Commit::Acceptance => key.starts_with(JOBS) && value["owner"].is_null(),
+            Commit::Claim => key.starts_with(JOBS) && value["owner"].is_string(),
+            Commit::Cancellation => key.starts_with(FINALS) && status == "aborted",
+            Commit::Completion => key.starts_with(FINALS) && status == "done",
+            Commit::MachineRecord => key.starts_with(MACHINES),
+            Commit::HandOver => key == PLANNER && value["successor"].is_string(),
+            Commit::Presence => key.starts_with(CONTROLLERS),
+        }
+    })
+}
+
+/// Loses the answers to the next so many of these transactions; they are carried out at once.
+/// Returns how many were lost.
+fn lose_answers(cluster: &Cluster, commit: Commit, most: u32) -> Rc<Cell<u32>> {
+    let lost = Rc::new(Cell::new(0));
+    let counter = lost.clone();
+    cluster.store.set_faults(move |request| {
+        if request.path() != PATH_TXN || counter.get() >= most {
+            return Fault::None;
+        }
+        let txn: Txn = serde_json::from_slice(&request.body).unwrap_or_default();
+        if !commits(&txn, commit) {
+            return Fault::None;
+        }
+        counter.set(counter.get() + 1);
+        Fault::LoseAnswer
+    });
+    lost
+}
+
+#[test]
+fn a_commit_without_an_answer_is_seen_by_all_and_taken_back_by_nobody() {
+    let commits = [
+        Commit::Acceptance,
+        Commit::Cancellation,
+        Commit::Claim,
+        Commit::Completion,
+        Commit::MachineRecord,
+        Commit::Presence,
+    ];
+    for commit in commits {
+        for most in [1, 4] {
+            scenario(3, |cluster| async move {
+                let lost = lose_answers(&cluster, commit, most);
+                if commit == Commit::Presence || commit == Commit::MachineRecord {
+                    cluster.restart(cluster.planner_node(), 0.2).await;
+                    let machine = cluster.cloud.add("z1", false, 0.1);
+                    secs(1.0).await;
+                    assert!(cluster.cloud.worker(&machine).is_some());
+                }
+                let (kept, cancelled) = (spec(1, 6), spec(2, 4));
+                let submitting = cluster.clone();
+                let first = kept.clone();
+                let submission = tokio::task::spawn_local(async move {
+                    submitting.submit(&first, 3.0).await;
+                });
+                watch_all(&cluster, &kept.id, 1.5).await;
+                submission.await.expect("accepted");
+                cluster.submit(&cancelled, 200.0).await;
+                secs(4.0).await;
+                let (cancelling, id) = (cluster.clone(), cancelled.id.clone());
+                let cancellation = tokio::task::spawn_local(async move {
+                    cancelling.cancel_at(0, &id).await;
+                });
+                watch_all(&cluster, &cancelled.id, 2.5).await;
+                cancellation.await.expect("cancelled");
+                watch_all(&cluster, &kept.id, 6.0).await;
+                cluster.until_done(&kept.id, 60.0).await;
+                assert_eq!(cluster.status(&cancelled.id).await, Some(JobStatus::Cancelled));
+                assert!(lost.get() >= 1, "{commit:?}: no answer was lost");
+                cluster.assert_started_once(&kept, "a lost answer starts nothing again");
+            });
+        }
+    }
+}
+
+#[test]
+fn a_hand_over_without_an_answer_leaves_one_planner() {
+    scenario(3, |cluster| async move {
+        let job = spec(1, 20);
+        cluster.submit(&job, 14.0).await;
+        secs(4.0).await;
+        let lost = lose_answers(&cluster, Commit::HandOver, 2);
+        let planner = cluster.planner_node();
+        for worker in cluster.cloud.workers() {
+            cluster.net.cut(NODES[planner], &worker.settings.name);
+        }
+        secs(LEASE_S).await;
+        assert!(lost.get() >= 1, "no answer to a hand-over was lost");
+        assert_ne!(cluster.planner_node(), planner);
+        for worker in cluster.cloud.workers() {
+            cluster.net.heal(NODES[planner], &worker.settings.name);
+        }
+        cluster.until_done(&job.id, 90.0).await;
+    });
+}
+
+/// Asks all controllers about a job again and again; the ledger notes answers that go back.
+async fn watch_all(cluster: &Rc<Cluster>, id: &corkfield_wire::JobId, seconds: f64) {
+    let rounds = (seconds / 0.05) as usize;
+    for round in 0..rounds {
+        let (asker, id) = (cluster.clone(), id.clone());
+        tokio::task::spawn_local(async move {
+            asker.ask_about(round % NODES.len(), &id, None).await;
+        });
+        secs(0.05).await;
+    }
+}
+
+#[test]
+fn a_cancellation_without_an_answer_is_asked_for_again_elsewhere() {
+    scenario(2, |cluster| async move {
+        let job = spec(1, 4);
+        cluster.submit(&job, 200.0).await;
+        secs(3.0).await;
+        lose_answers(&cluster, Commit::Cancellation, 1);
+        // The user gives up on the first controller before it knows.
+        let (first, id) = (cluster.clone(), job.id.clone());
+        tokio::task::spawn_local(async move {
+            first.ask_about(0, &id, Some(PATH_CANCEL)).await;
+        });
+        secs(0.1).await;
+        let told = cluster.ask_about(1, &job.id, Some(PATH_CANCEL)).await;
+        assert_eq!(told, Some(JobStatus::Cancelled));
+        for node in 0..NODES.len() {
+            assert_eq!(cluster.ask_about(node, &job.id, None).await, told);
+        }
+        secs(4.0).await;
+        assert_eq!(cluster.ledger.running(&job.id), 0);
+    });
+}
--- /dev/null
+++ b/crates/corkfield/tests/combined_faults/many_small_jobs.rs
@@ -0,0 +1,116 @@
+//! One-task jobs in quick succession, and machines that are up at once.
+
+use crate::cluster::{scenario, secs, spec, Cluster, NODES};
+use corkfield_fakes::{Fault, Plan};
+use corkfield_wire::records::{machine_key, JOBS};
+use corkfield_wire::store::{Txn, PATH_TXN};
+use corkfield_wire::{JobSpec, JobStatus};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// Jobs a second, and for how long they come.
+const RATE: f64 = 4.0;
+const JOBS_IN_ALL: u32 = 480;
+
+async fn submit_and_follow(cluster: Rc<Cluster>, job: JobSpec, number: u32) {
+    cluster.submit_plan(Plan { spec: job.clone(), run_s: 3.0, broken: false }).await;
+    if number % 4 == 0 {
+        secs(f64::from(number % 7) * 0.7).await;
+        cluster.cancel(&job.id).await;
+    } else {
+        cluster.until_done(&job.id, 60.0).await;
+    }
+}
+
+#[test]
+fn one_task_jobs_at_four_a_second_cost_few_changes_and_starve_no_array() {
+    scenario(4, |cluster| async move {
+        let changes = Rc::new(Cell::new(0usize));
+        let counter = changes.clone();
+        cluster.store.set_faults(move |request| {
+            if request.path() == PATH_TXN {
+                let txn: Txn = serde_json::from_slice(&request.body).unwrap_or_default();
+                counter.set(counter.get() + txn.changes.len());
+            }
+            Fault::None
+        });
+        let array = JobSpec { cpus: 4.0, ..spec(1, 30) };
+        cluster.submit(&array, 8.0).await;
+        let mut followed = Vec::new();
+        for number in 0..JOBS_IN_ALL {
+            let job = JobSpec { cpus: 0.5, memory_gb: 0.2, ..spec(1000 + number, 1) };
+            followed.push(tokio::task::spawn_local(submit_and_follow(
+                cluster.clone(),
+                job,
+                number,
+            )));
+            if number == JOBS_IN_ALL / 2 {
+                cluster.restart(cluster.planner_node(), 0.3).await;
+            }
+            secs(1.0 / RATE).await;
+        }
+        for job in followed {
+            job.await.expect("done or cancelled in time");
+        }
+        cluster.until_done(&array.id, 60.0).await;
+        let per_job = changes.get() as f64 / f64::from(JOBS_IN_ALL);
+        assert!(per_job < 7.0, "{per_job} changes a job");
+        secs(2.0).await;
+        assert_eq!(cluster.store.keys(JOBS), Vec::<String>::new(), "no record is left behind");
+        for number in 0..JOBS_IN_ALL {
+            let status = cluster.status(&spec(1000 + number, 1).id).await;
+            assert!(status.is_some_and(JobStatus::is_final), "{status:?}");
+        }
+    });
+}
+
+/// No task may be on a machine that the next planner doesn't know.
+fn assert_recorded(cluster: &Cluster) {
+    for worker in cluster.cloud.workers() {
+        let name = &worker.settings.name;
+        let recorded = cluster.store.get(&machine_key(name)).is_some();
+        assert!(recorded || cluster.ledger.starts_on(name) == 0, "{name} has no record");
+    }
+}
+
+#[test]
+fn machines_that_are_up_at_once_are_recorded_before_their_first_start() {
+    for (seed, restart_s) in [(0, 0.6), (1, 1.2), (2, 2.0), (3, 3.5)] {
+        scenario(4, |cluster| async move {
+            cluster.cloud.boot_s.set(0.2);
+            let job = spec(1, 60);
+            cluster.submit(&job, 5.0).await;
+            secs(4.0).await;
+            let rng = RefCell::new(SmallRng::seed_from_u64(seed));
+            cluster.store.set_faults(move |request| {
+                let mut rng = rng.borrow_mut();
+                match request.path() == PATH_TXN && rng.random_bool(0.5) {
+                    true => Fault::Late(rng.random_range(2.0..8.0)),
+                    false => Fault::Slow(rng.random_range(0.0..0.4)),
+                }
+            });
+            for worker in cluster.cloud.workers() {
+                cluster.cloud.take(&worker.settings.name);
+            }
+            // The planner notices, rents anew, and ends as soon as the new ones get work.
+            let mut restarted = false;
+            for round in 0..400 {
+                secs(0.05).await;
+                assert_recorded(&cluster);
+                let rented = cluster.cloud.rentals.get() > 0;
+                if rented && !restarted && f64::from(round) * 0.05 > 8.0 + restart_s {
+                    restarted = true;
+                    if let Some((planner, _)) = cluster.planner() {
+                        cluster.restart(planner, 0.2).await;
+                    }
+                }
+            }
+            cluster.store.clear_faults();
+            cluster.until_done(&job.id, 120.0).await;
+            assert_recorded(&cluster);
+            assert!(NODES.len() > 1 && restarted, "the planner ended in between");
+        });
+    }
+}
