Assigned tasks leave machines that take no more work

Cause: a task assigned to a machine that then drained, or got a notice, stayed assigned for ever; only silent machines gave theirs back. The machine was never empty and never returned. Ruled out: bounds of the jobs, back-off, limits.

--- a/crates/core/src/planner.rs
+++ b/crates/core/src/planner.rs
@@ -305,6 +305,13 @@
         }
     }
 
+    /// Takes a machine out of use: it gets no new work, and is returned once it is empty.
+    pub fn drain(&mut self, name: &str) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.enter(MachineState::Draining);
+        }
+    }
+
     /// A few machines that don't answer hold up every task claimed before, until they lapse or
     /// the list drops them half a minute later. Returned ones are surely gone (S5b), so those
     /// few are given up. Where many are silent it is more likely a zone, or this controller,
@@ -399,6 +406,12 @@
             class = %spec.class,
             tasks = spec.tasks,
             cpus = spec.cpus,
+            memory_gb = spec.memory_gb,
+            zone = ?spec.zone,
+            types = ?spec.types,
+            spot = spec.spot,
+            one_zone = spec.one_zone,
+            spread = spec.spread,
             estimate_s = spec.estimate_s,
             deadline_s = spec.deadline_s,
             age_s = age.as_secs_f64(),
@@ -1076,9 +1089,10 @@
                 lapsed.push(machine.name.clone());
                 continue;
             }
-            let silent =
-                machine.heard_at.is_none_or(|at| now.saturating_duration_since(at) > ASSIGNED_KEEP);
-            if silent && !machine.held.is_empty() {
+            // Also one that reports, but takes no more work: no start goes to a machine that drains
+            // or is about to be taken, so what was assigned to it would wait there for ever, and
+            // hold up its return.
+            if !machine.takes_work(now, ASSIGNED_KEEP) && !machine.held.is_empty() {
                 unassign.push(machine.name.clone());
             }
         }
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -876,3 +876,41 @@
     planner.plan(later);
     assert_eq!(active(&planner), 1, "it begins, and no more than that");
 }
+
+/// A second machine, of the name given, that takes work.
+fn report_of(name: &str, seq: u64) -> Report {
+    Report { machine: name.into(), addr: "10.0.0.10:9000".into(), ..report(seq, 1, Vec::new()) }
+}
+
+#[test]
+fn a_task_assigned_to_a_machine_that_takes_no_more_work_is_assigned_elsewhere() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    for notice in [true, false] {
+        let mut planner = planner(1);
+        planner.on_report(&report(1, 1, Vec::new()), true, now);
+        planner.machine_recorded("host-1", true);
+        planner.claimed(record(1, 1), TaskSet::default(), 5, Duration::ZERO, now);
+        planner.plan(now);
+        assert!(planner.has_starts_for("host-1"));
+        // While no start may leave, say in an outage of the store, its machine has to go.
+        if notice {
+            let noticed = Report { notice_s: Some(30.0), ..report(2, 1, Vec::new()) };
+            planner.on_report(&noticed, true, later);
+        } else {
+            planner.drain("host-1");
+            planner.on_report(&report(2, 1, Vec::new()), true, later);
+        }
+        planner.on_report(&report_of("host-2", 1), true, later);
+        planner.machine_recorded("host-2", true);
+        planner.tick(later);
+        planner.plan(later);
+        assert!(!planner.has_starts_for("host-1"), "notice: {notice}");
+        assert!(planner.has_starts_for("host-2"), "notice: {notice}");
+        if !notice {
+            planner.tick(later);
+            let deletes = |action: &Action| matches!(action, Action::Delete(names) if names.iter().any(|name| name == "host-1"));
+            assert!(planner.take_actions().iter().any(deletes), "nothing holds it back");
+        }
+    }
+}
