--- a/crates/corkfield/tests/combined_faults/gap.rs
+++ b/crates/corkfield/tests/combined_faults/gap.rs
@@ -7,7 +7,7 @@
 use corkfield_wire::store::PATH_TXN;
 use corkfield_wire::user::{PATH_CANCEL, PATH_JOBS};
 use corkfield_wire::worker::PATH_COMMANDS;
-use corkfield_wire::JobStatus;
+use corkfield_wire::{JobSpec, JobStatus, Priority};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -135,6 +135,44 @@
     }
 }
 
+#[test]
+fn a_planner_that_ends_around_the_end_of_an_outage_leaves_nothing_to_be_started_twice() {
+    // The planner is cut off from all, or ends, at several moments around the outage's end.
+    for (ends_s, cut) in [(-3.0, false), (-0.5, true), (0.0, false), (0.2, true), (1.0, true)] {
+        scenario(3, |cluster| async move {
+            let jobs: Vec<_> = (1..=3).map(|number| spec(number, 60)).collect();
+            for job in &jobs {
+                cluster.submit(job, 5.0).await;
+            }
+            secs(4.0).await;
+            let planner = cluster.planner_node();
+            cluster.store.set_down(true);
+            secs(20.0 + f64::min(ends_s, 0.0)).await;
+            let outage_ends = async {
+                secs(f64::max(-ends_s, 0.0)).await;
+                cluster.store.set_down(false);
+            };
+            let planner_ends = async {
+                secs(f64::max(ends_s, 0.0)).await;
+                match cut {
+                    true => {
+                        cluster.part(planner, true);
+                        cluster.refused[planner].set(true);
+                    }
+                    false => cluster.restart(planner, 0.2).await,
+                }
+            };
+            tokio::join!(outage_ends, planner_ends);
+            secs(20.0).await;
+            cluster.part(planner, false);
+            cluster.refused[planner].set(false);
+            for job in &jobs {
+                cluster.until_done(&job.id, 150.0).await;
+            }
+        });
+    }
+}
+
 #[test]
 fn who_confirmed_a_cancellation_that_the_planner_did_not_hear_of_does_not_vouch() {
     // Its notice comes late, or is lost with its process; the links are whole again meanwhile.
@@ -174,8 +212,9 @@
 #[test]
 fn without_a_young_proof_nothing_is_started() {
     scenario(2, |cluster| async move {
-        // All of them may begin without a write of their records.
-        let stream: Vec<_> = (1..=6).map(|n| spec(n, 120)).collect();
+        // Urgent, so that all of them may begin without a write of their records.
+        let stream: Vec<_> =
+            (1..=6).map(|n| JobSpec { priority: Priority::High, ..spec(n, 120) }).collect();
         for job in &stream {
             cluster.submit(job, 0.5).await;
         }
--- a/crates/corkfield/tests/scenarios.rs
+++ b/crates/corkfield/tests/scenarios.rs
@@ -11,7 +11,7 @@
 use corkfield_wire::records::{final_key, job_key, machine_key};
 use corkfield_wire::store::PATH_TXN;
 use corkfield_wire::user::{JobView, PATH_JOBS, PATH_READY};
-use corkfield_wire::{JobStatus, Priority};
+use corkfield_wire::{JobSpec, JobStatus, Priority};
 use std::cell::Cell;
 
 #[test]
@@ -222,9 +222,11 @@
     // The lease alone: starts need no younger proof of fresh state than it gives.
     let operator = Operator { start_proof_s: 60.0, ..Operator::default() };
     scenario_under(operator, 2, |cluster| async move {
-        // Enough that may begin without a write of its record, for as long as this takes.
+        // Enough that may begin without a write of its record, for as long as this takes: urgent
+        // work is announced by its claim.
         for number in 1..=6 {
-            cluster.submit(&spec(number, 120), 1.0).await;
+            let urgent = JobSpec { priority: Priority::High, ..spec(number, 120) };
+            cluster.submit(&urgent, 1.0).await;
         }
         secs(5.0).await;
         let old = cluster.planner_node();
