Split planner, leader and placement into modules of one job each; no change of behaviour

core/planner: take-over, claims, settlement, reports, orders, machines. corkfield/leader: take-over, claiming, actions, provisioning, fencing, cancelled, overview. core/placement: queue, rooms, preemption.

--- /dev/null
+++ b/crates/core/src/planner/claims.rs
@@ -0,0 +1,145 @@
+//! Claimed jobs: taking them up, and closing those that are over.
+
+use super::{direct, Action, Planner};
+use crate::job::{Job, JobState, Placed};
+use crate::machine::HeldState;
+use corkfield_wire::records::JobRecord;
+use corkfield_wire::worker::Order;
+use corkfield_wire::{JobId, TaskId, TaskSet};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+impl Planner {
+    /// Jobs that have to be claimed once more.
+    pub fn lapsed_jobs(&self) -> Vec<JobId> {
+        let lapsed = self.jobs.iter().filter(|(_, j)| j.state() == JobState::Lapsed);
+        lapsed.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Which unfinished jobs are still to be claimed. A take-over claims them a few at a time,
+    /// and their machines report meanwhile: tasks of jobs that are merely not claimed yet must
+    /// neither be stopped as nobody's, nor their results be forgotten.
+    pub fn set_unclaimed(&mut self, unclaimed: BTreeSet<JobId>) {
+        self.unclaimed = unclaimed;
+    }
+
+    /// A job that was claimed, with its finished tasks.
+    pub fn claimed(
+        &mut self,
+        record: JobRecord,
+        finished: TaskSet,
+        version: u64,
+        age: Duration,
+        now: Instant,
+    ) {
+        let Some(team) = self.config.teams.iter().position(|t| t.name == record.spec.team) else {
+            tracing::error!(job = %record.spec.id, "claimed a job of an unknown team");
+            return;
+        };
+        let id = record.spec.id.clone();
+        if let Some(job) = self.jobs.get_mut(&id).filter(|j| j.is_live()) {
+            job.reclaimed(record, version, now);
+            if job.state() == JobState::SetAside {
+                self.stop_job(&id);
+            }
+            return;
+        }
+        let mut job = Job::new(record, finished, version, team, age, now);
+        // Tasks that fresh machines reported before the claim are taken up now.
+        for machine in self.machines.values_mut() {
+            for ((task, attempt), held) in machine.held.iter_mut().filter(|((t, _), _)| t.job == id)
+            {
+                held.belongs_to(job.spec(), team);
+                if held.state == HeldState::Done {
+                    job.finish(task.index);
+                } else if held.takes_room() && !job.active().contains_key(&task.index) {
+                    held.stop = None;
+                    job.place(task.index, &machine.name, *attempt);
+                }
+            }
+        }
+        let spec = job.spec();
+        tracing::debug!(
+            job = %id,
+            class = %spec.class,
+            tasks = spec.tasks,
+            cpus = spec.cpus,
+            memory_gb = spec.memory_gb,
+            zone = ?spec.zone,
+            types = ?spec.types,
+            spot = spec.spot,
+            one_zone = spec.one_zone,
+            spread = spec.spread,
+            estimate_s = spec.estimate_s,
+            deadline_s = spec.deadline_s,
+            age_s = age.as_secs_f64(),
+            generation = job.record.generation,
+            claims = job.record.claims,
+            "claimed"
+        );
+        self.jobs.insert(id, job);
+    }
+
+    /// Closes all jobs that are no longer unfinished.
+    pub fn close_all_but(&mut self, unfinished: impl Fn(&JobId) -> bool) {
+        let live = self.jobs.iter().filter(|(_, job)| job.is_live()).map(|(id, _)| id);
+        let over = live.chain(&self.unclaimed).filter(|id| !unfinished(id)).cloned();
+        for id in over.collect::<Vec<JobId>>() {
+            self.close_job(&id);
+        }
+    }
+
+    /// The job is cancelled, done, or another's: nothing of it may start any more, and what of it
+    /// is on machines is stopped, whether it was claimed yet or not.
+    pub fn close_job(&mut self, id: &JobId) {
+        let unclaimed = self.unclaimed.remove(id);
+        match self.jobs.get_mut(id) {
+            Some(job) if job.is_live() => job.enter(JobState::Closing),
+            None if unclaimed => {}
+            _ => return,
+        }
+        tracing::debug!(job = %id, "closed");
+        self.stop_job(id);
+        self.sweep_job(id);
+    }
+
+    fn stop_job(&mut self, id: &JobId) {
+        let mut orders: Vec<Action> = Vec::new();
+        for machine in self.machines.values_mut().filter(|m| m.held.has_tasks_of(id)) {
+            machine
+                .held
+                .retain(|(task, _), held| !(task.job == *id && held.state == HeldState::Assigned));
+            let mut stops = Vec::new();
+            for ((task, attempt), held) in machine.held.iter_mut() {
+                if task.job == *id && held.takes_room() {
+                    held.stop = Some(Duration::ZERO);
+                    let (task, attempt) = (task.clone(), *attempt);
+                    stops.push(Order::Stop { task, attempt, grace_s: 0.0 });
+                }
+            }
+            if !stops.is_empty() && machine.session > 0 {
+                orders.push(direct(machine, stops));
+            }
+        }
+        self.actions.extend(orders);
+        if let Some(job) = self.jobs.get_mut(id) {
+            let id = id.clone();
+            let held = |index: u32, placed: &Placed| {
+                let key = (TaskId { job: id.clone(), index }, placed.attempt);
+                self.machines.get(&placed.machine).is_some_and(|m| m.held.contains_key(&key))
+            };
+            let active = job.active().iter();
+            let lost: Vec<(u32, Placed)> =
+                active.filter(|(n, p)| !held(**n, p)).map(|(n, p)| (*n, p.clone())).collect();
+            for (index, placed) in lost {
+                job.release(index, &placed.machine, placed.attempt);
+            }
+        }
+    }
+
+    pub(super) fn sweep_job(&mut self, id: &JobId) {
+        if self.jobs.get(id).is_some_and(|j| !j.is_live() && j.active().is_empty()) {
+            self.jobs.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/planner/mod.rs
@@ -0,0 +1,313 @@
+//! The planner: the one view of all jobs and machines, rebuilt from records and reports.
+//!
+//! Safety rules are named S1 to S12 as in `docs/design.md`.
+
+mod claims;
+mod machines;
+mod orders;
+mod reports;
+mod settlement;
+mod take_over;
+
+use crate::config::Config;
+use crate::job::{Job, JobState};
+use crate::machine::{Hearing, Held, HeldState, Machine, MachineState};
+use crate::renting::Renting;
+use crate::team::Usage;
+use corkfield_wire::cloud::{MachineType, RentRequest};
+use corkfield_wire::records::{JobRecord, MachineRecord};
+use corkfield_wire::worker::Order;
+use corkfield_wire::{JobId, TaskSet};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::time::{Duration, Instant};
+
+/// A decision that no report came to fetch is taken back after this time.
+const ASSIGNED_KEEP: Duration = Duration::from_secs(5);
+
+/// Between two log lines of what happened to machines.
+const NOTE_EVERY: Duration = Duration::from_secs(10);
+
+/// What the world outside should do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// A report whose answer is held back should be answered now.
+    Answer(String),
+    /// Orders that are safe at any time (stops), straight to the machine.
+    Direct {
+        machine: String,
+        addr: String,
+        session: u64,
+        orders: Vec<Order>,
+    },
+    /// The state service has to know the machine before anything starts on it.
+    Record(String, MachineRecord),
+    /// The machine is surely gone, and its record with it.
+    Erase(String),
+    Rent(RentRequest),
+    Delete(Vec<String>),
+}
+
+/// What to do with a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    Accept,
+    /// Older than what is known, or of a machine that is gone: no answer with 200.
+    Stale,
+    /// The worker has seen a higher term than ours.
+    HigherTerm(u64),
+}
+
+/// A write that settles finished tasks.
+#[derive(Debug, Clone)]
+pub struct Settlement {
+    pub job: JobId,
+    pub version: u64,
+    pub record: JobRecord,
+    /// Finished numbers by chunk, for jobs too large to keep them in the record.
+    pub chunks: Vec<(u32, TaskSet)>,
+    pub tasks: Vec<u32>,
+    pub finishes: bool,
+}
+
+/// Figures for operators.
+#[derive(Debug, Clone, Default)]
+pub struct Overview {
+    pub jobs: usize,
+    pub waiting_tasks: u64,
+    pub running_tasks: u64,
+    pub oldest_waiting: Option<(JobId, Duration)>,
+    pub set_aside: Vec<JobId>,
+    pub most_claims: u32,
+    pub machines_up: usize,
+    pub machines_booting: usize,
+    pub unfenced: usize,
+    /// Planning passes since the planner took over.
+    pub passes: u64,
+    /// Machines and tasks that these looked at.
+    pub steps: u64,
+}
+
+pub struct Planner {
+    pub(crate) config: Config,
+    term: u64,
+    pub(crate) types: Vec<MachineType>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) machines: BTreeMap<String, Machine>,
+    gone: VecDeque<String>,
+    gone_names: HashSet<String>,
+    /// Unfinished jobs that are not claimed yet: their tasks are let be.
+    unclaimed: BTreeSet<JobId>,
+    /// Machines recorded by earlier planners whose tasks are not known yet (S7).
+    unfenced: BTreeSet<String>,
+    /// Since when there are any.
+    unfenced_since: Option<Instant>,
+    /// When the newest of them showed what it holds.
+    accounted_at: Option<Instant>,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) rng: SmallRng,
+    pub(crate) renting: Renting,
+    /// Run time seen against the owners' guesses, by class: count and sum of ratios.
+    pub(crate) corrections: HashMap<String, (u32, f64)>,
+    last_delete: Option<Instant>,
+    pub(crate) passes: u64,
+    /// What happened to machines since the last log line of its kind: how often, and to which.
+    noted: BTreeMap<&'static str, (u32, String)>,
+    noted_at: Option<Instant>,
+    deaf: usize,
+    /// Rooms and tasks looked at in planning passes.
+    pub(crate) steps: Cell<u64>,
+}
+
+impl Planner {
+    pub fn new(config: Config, term: u64, seed: u64) -> Self {
+        Self {
+            config,
+            term,
+            types: Vec::new(),
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            gone: VecDeque::new(),
+            gone_names: HashSet::new(),
+            unclaimed: BTreeSet::new(),
+            unfenced: BTreeSet::new(),
+            unfenced_since: None,
+            accounted_at: None,
+            actions: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            renting: Renting::new(term),
+            corrections: HashMap::new(),
+            last_delete: None,
+            passes: 0,
+            noted: BTreeMap::new(),
+            noted_at: None,
+            deaf: 0,
+            steps: Cell::new(0),
+        }
+    }
+
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Takes a higher term after a worker showed one that is higher than ours.
+    pub fn raise_term(&mut self, term: u64) {
+        self.term = self.term.max(term);
+    }
+
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    pub fn job(&self, id: &JobId) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    pub fn machine(&self, name: &str) -> Option<&Machine> {
+        self.machines.get(name)
+    }
+
+    pub fn machine_count(&self) -> usize {
+        self.machines.len()
+    }
+
+    /// Notes what operators should know of a machine. Whole waves of them share a log line.
+    pub(crate) fn note(&mut self, machine: &str, what: &'static str) {
+        tracing::debug!(machine, "{what}");
+        let noted = self.noted.entry(what).or_insert_with(|| (0, machine.to_owned()));
+        noted.0 += 1;
+    }
+
+    fn tell_noted(&mut self, now: Instant) {
+        let recently = |at| now.saturating_duration_since(at) < NOTE_EVERY;
+        if self.noted_at.is_some_and(recently) {
+            return;
+        }
+        let deaf = self.machines.values().filter(|m| m.hearing() == Hearing::Deaf).count();
+        if deaf != std::mem::replace(&mut self.deaf, deaf) {
+            tracing::info!(machines = deaf, "report but take no orders");
+            self.noted_at = Some(now);
+        }
+        for (what, (machines, one)) in std::mem::take(&mut self.noted) {
+            tracing::info!(machines, one, "{what}");
+            self.noted_at = Some(now);
+        }
+    }
+
+    /// Everything that only time brings about.
+    pub fn tick(&mut self, now: Instant) {
+        let lapse = self.config.lapse_after();
+        let mut unassign = Vec::new();
+        let mut lapsed = Vec::new();
+        for machine in self.machines.values_mut() {
+            if !machine.lapsed
+                && machine.state() != MachineState::Booting
+                && now.saturating_duration_since(machine.answered_at) > lapse
+            {
+                // S5c: no controller can have answered it for longer than its lease.
+                tracing::debug!(machine = %machine.name, "worker lease has lapsed");
+                machine.lapsed = true;
+                machine.fresh = false;
+                machine.ended_sessions = machine.session;
+                let ordered = |held: &Held| matches!(held.state, HeldState::Ordered { .. });
+                if machine.held.values().any(ordered) {
+                    machine.heard(false);
+                }
+                lapsed.push(machine.name.clone());
+                continue;
+            }
+            // Also one that reports, but takes no more work: no start goes to a machine that drains
+            // or is about to be taken, so what was assigned to it would wait there for ever, and
+            // hold up its return.
+            if !machine.takes_work(now, ASSIGNED_KEEP) && !machine.held.is_empty() {
+                unassign.push(machine.name.clone());
+            }
+        }
+        for name in lapsed {
+            self.unfenced.remove(&name);
+            self.drop_held(&name, |_| true);
+        }
+        for name in unassign {
+            self.drop_held(&name, |held| held.state == HeldState::Assigned);
+        }
+        for job in self.jobs.values_mut() {
+            if matches!(job.state(), JobState::BackingOff(until) if now >= until) {
+                job.enter(JobState::Lapsed);
+            }
+            job.running = 0;
+            job.note_nothing(now);
+            // A job that failed on every machine there is would otherwise wait for ever.
+            let untried = |m: &Machine| {
+                m.state() == MachineState::Up
+                    && m.allows(&job.record.spec)
+                    && !job.failed_on.contains(&m.name)
+            };
+            if !job.failed_on.is_empty() && !self.machines.values().any(untried) {
+                job.back_off(now);
+            }
+        }
+        let mut running: BTreeMap<&JobId, u32> = BTreeMap::new();
+        for machine in self.machines.values() {
+            for (job, count) in &machine.held.totals().running {
+                *running.entry(job).or_default() += count;
+            }
+        }
+        for (id, count) in running {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.running = count;
+            }
+        }
+        self.give_up_unfenced(now);
+        self.tick_machines(now);
+        self.tell_noted(now);
+    }
+
+    pub(crate) fn usage(&self) -> Vec<Usage> {
+        let mut usage = vec![Usage::default(); self.config.teams.len()];
+        for machine in self.machines.values() {
+            for (sum, used) in usage.iter_mut().zip(&machine.held.totals().by_team) {
+                *sum = sum.plus(*used);
+            }
+        }
+        usage
+    }
+
+    pub fn overview(&self, now: Instant) -> Overview {
+        let mut view = Overview { jobs: self.jobs.len(), ..Overview::default() };
+        view.unfenced = self.unfenced.len();
+        view.passes = self.passes;
+        view.steps = self.steps.get();
+        for (id, job) in &self.jobs {
+            view.waiting_tasks += u64::from(job.waiting());
+            view.running_tasks += u64::from(job.running);
+            view.most_claims = view.most_claims.max(job.record.claims);
+            if job.state() == JobState::SetAside {
+                view.set_aside.push(id.clone());
+            }
+            let age = now.saturating_duration_since(job.accepted_at);
+            let older = view.oldest_waiting.as_ref().is_none_or(|(_, oldest)| age > *oldest);
+            if job.waiting() > 0 && older {
+                view.oldest_waiting = Some((id.clone(), age));
+            }
+        }
+        for machine in self.machines.values() {
+            match machine.state() {
+                MachineState::Up => view.machines_up += 1,
+                MachineState::Booting => view.machines_booting += 1,
+                _ => {}
+            }
+        }
+        view
+    }
+}
+
+pub(crate) fn direct(machine: &Machine, orders: Vec<Order>) -> Action {
+    Action::Direct {
+        machine: machine.name.clone(),
+        addr: machine.addr.clone(),
+        session: machine.session,
+        orders,
+    }
+}
--- /dev/null
+++ b/crates/core/src/planner/take_over.rs
@@ -0,0 +1,142 @@
+//! Take-over: which machines earlier planners may have used, and when each is accounted for (S7).
+
+use super::{Planner, Verdict};
+use crate::machine::{Hearing, Machine, MachineState, Recorded};
+use corkfield_wire::records::MachineRecord;
+use corkfield_wire::worker::Report;
+use std::time::{Duration, Instant};
+
+/// After a take-over machines have a report interval and this long to show what they hold.
+const FENCE_PATIENCE: Duration = Duration::from_secs(2);
+/// While others still come, the rest may be on their way: when a cut ends or hung machines go on,
+/// they answer one after the other, and the last of them must not be taken for the silent few.
+const FENCE_STILL: Duration = Duration::from_secs(3);
+/// So many machines that don't, or that part of all, are given up; never most of a small fleet.
+const FEW_UNFENCED: usize = 2;
+const UNFENCED_PART: usize = 8;
+/// And only those that were asked this often in vain: a planner that is busy with the reports of
+/// a whole fleet may not have come round to the others yet.
+const GIVEN_UP_AFTER: u32 = 2;
+/// So many reports with low order numbers, each above the one before, and no others, are a reason
+/// to ask the worker whether it counts anew.
+const BEHIND_REPORTS: u32 = 2;
+
+impl Planner {
+    /// A machine on which an earlier planner may have started tasks. Nothing that was claimed
+    /// before is started until it has reported under our term, or is gone, or has lapsed.
+    /// `age` is the time since the record was written, at the least.
+    pub fn recorded_machine(
+        &mut self,
+        name: &str,
+        record: &MachineRecord,
+        age: Duration,
+        now: Instant,
+    ) {
+        let MachineRecord { addr, machine_type, zone, spot, .. } = record.clone();
+        let mut machine = Machine::new(name.to_owned(), machine_type, zone, spot, &self.types, now);
+        machine.addr = addr;
+        machine.recorded = Recorded::Yes;
+        // It existed then, so the first lists may tell already that it is gone.
+        machine.known_since = now.checked_sub(age).unwrap_or(now);
+        // S6: the planner before us may have answered it until its fresh state ran out.
+        machine.answered_at = now + self.config.answer_limit;
+        machine.enter(MachineState::Up);
+        self.unfenced.insert(name.to_owned());
+        self.unfenced_since.get_or_insert(now);
+        self.machines.insert(name.to_owned(), machine);
+    }
+
+    /// Machines that have to be asked, under our term, what they hold, or whether they hear.
+    pub fn fence_targets(&self) -> Vec<(String, String, u64)> {
+        let asked = self.machines.values().filter(|machine| {
+            !machine.addr.is_empty()
+                && machine.state() != MachineState::Deleting
+                && (machine.hearing() == Hearing::Deaf
+                    || machine.behind.1 >= BEHIND_REPORTS
+                    || self.unfenced.contains(&machine.name))
+        });
+        asked.map(|m| (m.name.clone(), m.addr.clone(), m.session.max(1))).collect()
+    }
+
+    /// The newest order number known of a machine: what it says in answer to a question asked
+    /// after this is newer.
+    pub fn known_order(&self, name: &str) -> (u64, u64) {
+        self.machines.get(name).map_or((0, 0), |m| (m.session, m.seq))
+    }
+
+    /// A machine's answer to direct orders that were sent when `known` was the newest order
+    /// number known of it.
+    pub fn on_answer(&mut self, report: &Report, known: (u64, u64), now: Instant) -> Verdict {
+        let verdict = self.on_report(report, false, now);
+        if (report.session, report.seq) <= known {
+            self.restarted(&report.machine);
+        }
+        verdict
+    }
+
+    /// A worker that counts anew has lost all its tasks, and its numbers no longer tell old
+    /// reports from new ones. So it is not trusted again: the machine is returned.
+    pub(super) fn restarted(&mut self, name: &str) {
+        self.hand_back(name, "its worker began anew; returned");
+    }
+
+    /// Returns a machine at once, with all that it may hold; the answered deletion settles that.
+    fn hand_back(&mut self, name: &str, why: &'static str) {
+        let Some(machine) = self.machines.get_mut(name) else {
+            return;
+        };
+        if machine.state() != MachineState::Deleting {
+            machine.enter(MachineState::Deleting);
+            self.last_delete = None;
+            self.note(name, why);
+        }
+    }
+
+    /// A few machines that don't answer hold up every task claimed before, until they lapse or
+    /// the list drops them half a minute later. Returned ones are surely gone (S5b), so those
+    /// few are given up. Where many are silent it is more likely a zone, or this controller,
+    /// that is cut off: then their work is worth the wait.
+    pub(super) fn give_up_unfenced(&mut self, now: Instant) {
+        let Some(since) = self.unfenced_since else {
+            return;
+        };
+        let waited = now.saturating_duration_since(since);
+        let machines = self.machines.len();
+        if self.unfenced.is_empty() {
+            let waited_s = waited.as_secs_f64();
+            tracing::info!(machines, waited_s, "all machines accounted for after the take-over");
+            self.unfenced_since = None;
+            return;
+        }
+        let few = FEW_UNFENCED.min(machines / 2).max(machines / UNFENCED_PART);
+        let patience = self.config.report_interval + FENCE_PATIENCE;
+        let coming =
+            self.accounted_at.is_some_and(|at| now.saturating_duration_since(at) < FENCE_STILL);
+        if waited < patience || coming || self.unfenced.len() > few {
+            return;
+        }
+        let asked = |name: &&String| {
+            self.machines.get(*name).is_some_and(|machine| machine.unanswered >= GIVEN_UP_AFTER)
+        };
+        let silent: Vec<String> = self.unfenced.iter().filter(asked).cloned().collect();
+        for name in silent {
+            self.hand_back(&name, "no answer after the take-over; returned");
+        }
+    }
+
+    /// A machine did not answer direct orders in time.
+    pub fn unanswered(&mut self, name: &str) {
+        if let Some(machine) = self.machines.get_mut(name) {
+            machine.unanswered += 1;
+        }
+    }
+
+    /// All tasks that earlier planners started are accounted for.
+    pub fn is_complete(&self) -> bool {
+        self.unfenced.is_empty()
+    }
+
+    pub(crate) fn is_unfenced(&self, machine: &str) -> bool {
+        self.unfenced.contains(machine)
+    }
+}
--- /dev/null
+++ b/crates/corkfield/src/leader/actions.rs
@@ -0,0 +1,116 @@
+//! What the planner decided, carried out: machine records, rentals, deletions.
+
+use super::fencing::direct;
+use super::provisioning::rent;
+use super::Planning;
+use crate::node::wall_ms;
+use corkfield_core::Action;
+use corkfield_state::{StateError, Use};
+use corkfield_wire::records::{machine_key, MachineRecord, PLANNER};
+use corkfield_wire::store::Txn;
+
+impl Planning<'_> {
+    pub(super) async fn acting(&self) {
+        loop {
+            let actions = self.planner.borrow_mut().take_actions();
+            if actions.is_empty() {
+                self.node.leader.actions.notified().await;
+                continue;
+            }
+            let mut records = Vec::new();
+            let mut erased = Vec::new();
+            for action in actions {
+                match action {
+                    Action::Record(name, record) => records.push((name, record)),
+                    Action::Erase(name) => erased.push(name),
+                    action => self.act(action),
+                }
+            }
+            // Hundreds of machines come and go together; what is written of them shares requests.
+            let most = self.node.settings.platform.params.state.txn_ops.max(1) as usize;
+            records.chunks(most).for_each(|part| self.record(part.to_vec()));
+            erased.chunks(most).for_each(|part| self.erase(part.to_vec()));
+        }
+    }
+
+    fn act(&self, action: Action) {
+        let node = self.node.clone();
+        let planner = self.planner.clone();
+        match action {
+            Action::Answer(machine) => {
+                if let Some(work) = node.leader.parked.borrow_mut().remove(&machine) {
+                    work.notify_one();
+                }
+            }
+            Action::Direct { machine, addr, session, orders } => {
+                tokio::task::spawn_local(async move {
+                    direct(&node, &planner, &machine, &addr, session, orders).await;
+                });
+            }
+            Action::Rent(request) => {
+                tokio::task::spawn_local(async move {
+                    rent(&node, &planner, &request).await;
+                });
+            }
+            // Asked for again while it is due: see [`Leader::may_start`].
+            Action::Delete(names) if !node.leader.may_start(&node) => {
+                tracing::debug!(machines = names.len(), "not returned without a valid lease");
+            }
+            Action::Delete(names) => {
+                tokio::task::spawn_local(async move {
+                    match node.cloud.delete(names.clone()).await {
+                        Ok(()) => {
+                            planner.borrow_mut().deleted(&names);
+                            node.leader.actions.notify_one();
+                        }
+                        Err(error) => tracing::debug!(%error, "deletion failed"),
+                    }
+                });
+            }
+            // Written in groups by the caller.
+            Action::Record(..) | Action::Erase(..) => {}
+        }
+    }
+
+    /// Writes machine records, conditional on the planner record: a planner that was replaced
+    /// can't add machines that its successor doesn't know.
+    fn record(&self, machines: Vec<(String, MachineRecord)>) {
+        let (node, planner) = (self.node.clone(), self.planner.clone());
+        let mut txn = Txn::default().when(PLANNER, self.version.get());
+        let recorded_ms = wall_ms();
+        for (name, record) in &machines {
+            let record = MachineRecord { recorded_ms, ..record.clone() };
+            txn = txn.put(machine_key(name), serde_json::to_value(&record).unwrap_or_default());
+        }
+        tokio::task::spawn_local(async move {
+            // After what users send: a fleet that comes up has hundreds of these.
+            let stored = node.state.txn(Use::Settling, &txn).await;
+            for (name, _) in &machines {
+                planner.borrow_mut().machine_recorded(name, stored.is_ok());
+            }
+            node.leader.want_pass();
+        });
+    }
+
+    fn erase(&self, machines: Vec<String>) {
+        let (node, current) = (self.node.clone(), self.version.clone());
+        tokio::task::spawn_local(async move {
+            // A record that is left over holds up the next take-over, so this is tried until it
+            // succeeds or another plans.
+            loop {
+                let version = current.get();
+                let txn = Txn::default().when(PLANNER, version);
+                let txn = machines.iter().fold(txn, |txn, name| txn.delete(machine_key(name)));
+                let Err(error) = node.state.txn(Use::Housekeeping, &txn).await else {
+                    return;
+                };
+                tracing::debug!(?machines, %error, "can't drop machines' records");
+                // Our own term may have been raised meanwhile, and the record with it.
+                if matches!(error, StateError::Conflict(_)) && version == current.get() {
+                    return;
+                }
+                node.pause(500..1500).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/corkfield/src/leader/cancelled.rs
@@ -0,0 +1,35 @@
+//! Jobs known to be cancelled, whatever the copy of the store still shows.
+
+use corkfield_wire::JobId;
+use std::collections::{HashMap, VecDeque};
+use std::time::Instant;
+
+/// Cancelled jobs that were heard of, kept so that no copy of the store that is behind brings
+/// them back.
+const MAX_CANCELLED: usize = 4096;
+
+/// Jobs that the state service holds as cancelled, whatever the copy of it still shows, and when
+/// that became known.
+#[derive(Default)]
+pub(super) struct Cancelled {
+    pub(super) since: HashMap<JobId, Instant>,
+    pub(super) order: VecDeque<JobId>,
+}
+
+impl Cancelled {
+    pub(super) fn insert(&mut self, id: &JobId, at: Instant) {
+        if self.since.insert(id.clone(), at).is_none() {
+            self.order.push_back(id.clone());
+        }
+        if self.order.len() > MAX_CANCELLED {
+            if let Some(oldest) = self.order.pop_front() {
+                self.since.remove(&oldest);
+            }
+        }
+    }
+
+    pub(super) fn remove(&mut self, id: &JobId) {
+        self.since.remove(id);
+        self.order.retain(|other| other != id);
+    }
+}
--- /dev/null
+++ b/crates/corkfield/src/leader/claiming.rs
@@ -0,0 +1,131 @@
+//! Claims of job records under the planner record.
+
+use super::Planning;
+use crate::node::now;
+use crate::settling::finished_chunks;
+use corkfield_state::{StateError, Use};
+use corkfield_wire::records::{controller_key, job_key, JobRecord, PLANNER};
+use corkfield_wire::store::Txn;
+use corkfield_wire::JobId;
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+impl Planning<'_> {
+    pub(super) async fn claims(&self) {
+        loop {
+            let changed = self.node.follower.changed.notified();
+            let claimed = self.claim_round().await;
+            if !claimed {
+                let _ = tokio::time::timeout(Duration::from_millis(250), changed).await;
+            }
+        }
+    }
+
+    /// Closes what is over, and claims what is new or lapsed; true if more may be left.
+    pub(super) async fn claim_round(&self) -> bool {
+        let mut due: Vec<(JobRecord, u64)> = Vec::new();
+        self.node.leader.forget_cancelled(&self.node.follower);
+        {
+            let cache = self.node.follower.cache.borrow();
+            let mut planner = self.planner.borrow_mut();
+            let is_cancelled = |id: &JobId| self.node.leader.is_cancelled(id);
+            planner.close_all_but(|id| cache.jobs.contains_key(id));
+            let unclaimed = cache.jobs.keys().filter(|id| planner.job(id).is_none());
+            let unclaimed = unclaimed.filter(|id| !is_cancelled(id)).cloned().collect();
+            planner.set_unclaimed(unclaimed);
+            let lapsed: HashSet<JobId> = planner.lapsed_jobs().into_iter().collect();
+            let reading = self.reading.borrow();
+            let open = |id: &JobId| !is_cancelled(id) && !reading.contains(id);
+            for (id, (record, version)) in cache.jobs.iter().filter(|(id, _)| open(id)) {
+                let known = planner.job(id);
+                let ours = record.owner.as_deref() == Some(self.me.incarnation.as_str());
+                let new = known.is_none_or(|job| *version > job.version && !ours);
+                if new || lapsed.contains(id) {
+                    due.push((record.clone(), *version));
+                }
+            }
+        }
+        due.sort_by_key(|(record, _)| (record.spec.priority, record.accepted_ms));
+        let most = self.node.settings.platform.params.state.txn_ops.max(1) as usize;
+        let batch = (self.node.settings.operator.claim_batch as usize).min(most);
+        let more = due.len() > batch;
+        due.truncate(batch);
+        if due.is_empty() {
+            return false;
+        }
+        self.claim(due).await && more
+    }
+
+    /// The design's claim: one conditional transaction over a few records.
+    async fn claim(&self, batch: Vec<(JobRecord, u64)>) -> bool {
+        let mut txn = Txn::default()
+            .when(PLANNER, self.version.get())
+            .when(controller_key(&self.node.name), self.me.version);
+        let mut claimed = Vec::new();
+        for (mut record, version) in batch {
+            let owner = self.me.incarnation.clone();
+            match record.begun > 0 || self.planner.borrow().may_begin_soon(&record.spec, now()) {
+                true => record.claim(owner),
+                false => record.claim_to_wait(owner),
+            }
+            if record.claims > self.node.settings.operator.claim_limit {
+                tracing::warn!(job = %record.spec.id, claims = record.claims, "claim limit reached; set aside");
+                record.set_aside = true;
+            }
+            let key = job_key(&record.spec.id);
+            let value = serde_json::to_value(&record).unwrap_or_default();
+            txn = txn.when(key.clone(), version).put(key, value);
+            claimed.push(record);
+        }
+        let version = match self.node.state.txn(Use::Claim, &txn).await {
+            Ok(version) => version,
+            Err(StateError::NoAnswer(_)) => match self.claim_landed(&claimed[0]).await {
+                Some(version) => version,
+                None => return false,
+            },
+            Err(error) => {
+                tracing::debug!(%error, "claim failed");
+                self.node.pause(50..150).await;
+                return false;
+            }
+        };
+        for record in claimed {
+            if record.is_chunked() && record.done > 0 {
+                self.read_finished(record, version);
+            } else {
+                let finished = record.finished.clone();
+                self.node.leader.take_claimed(self.node, &self.planner, record, finished, version);
+            }
+        }
+        self.claimed.notify_one();
+        true
+    }
+
+    /// Takes up a claimed job once its finished tasks are read. Other claims don't wait for that.
+    fn read_finished(&self, record: JobRecord, version: u64) {
+        let id = record.spec.id.clone();
+        self.reading.borrow_mut().insert(id.clone());
+        let (node, reading) = (self.node.clone(), self.reading.clone());
+        let planner = Rc::downgrade(&self.planner);
+        tokio::task::spawn_local(async move {
+            while let Some(planner) = planner.upgrade() {
+                if let Some(finished) = finished_chunks(&node, &id).await {
+                    node.leader.take_claimed(&node, &planner, record, finished, version);
+                    break;
+                }
+                drop(planner);
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+            reading.borrow_mut().remove(&id);
+        });
+    }
+
+    /// Whether a claim without an answer was carried out (all of it, as it is one transaction).
+    async fn claim_landed(&self, record: &JobRecord) -> Option<u64> {
+        let item = self.node.state.get(Use::Claim, &job_key(&record.spec.id)).await.ok()??;
+        let found: JobRecord = serde_json::from_value(item.value).ok()?;
+        (found.owner == record.owner && found.generation == record.generation)
+            .then_some(item.version)
+    }
+}
--- /dev/null
+++ b/crates/corkfield/src/leader/overview.rs
@@ -0,0 +1,36 @@
+//! The operators' view.
+
+use crate::node::{json, now, Node};
+use corkfield_http::Response;
+
+/// What operators see: the queue, the claims, what was set aside.
+pub fn overview(node: &Node) -> Response {
+    let cache = node.follower.cache.borrow();
+    let planner = cache.planner.as_ref().and_then(|(record, _)| record.node.clone());
+    let mut body = serde_json::json!({
+        "node": node.name,
+        "planner": planner,
+        "unfinished_jobs": cache.jobs.len(),
+        "set_aside": cache.jobs.iter().filter(|(_, (r, _))| r.set_aside).map(|(id, _)| id.as_str()).collect::<Vec<_>>(),
+        "state_age_s": node.follower.proof_age().as_secs_f64(),
+    });
+    if let Some(planner) = node.leader.planner() {
+        let view = planner.borrow().overview(now());
+        let oldest = view.oldest_waiting.as_ref();
+        body["planning"] = serde_json::json!({
+            "term": planner.borrow().term(),
+            "jobs": view.jobs,
+            "passes": view.passes,
+            "steps": view.steps,
+            "waiting_tasks": view.waiting_tasks,
+            "running_tasks": view.running_tasks,
+            "oldest_waiting": oldest.map(|(id, _)| id.as_str()),
+            "oldest_waiting_s": oldest.map(|(_, age)| age.as_secs_f64()),
+            "most_claims": view.most_claims,
+            "machines_up": view.machines_up,
+            "machines_booting": view.machines_booting,
+            "machines_unfenced": view.unfenced,
+        });
+    }
+    json(200, &body)
+}
--- /dev/null
+++ b/crates/corkfield/src/leader/provisioning.rs
@@ -0,0 +1,116 @@
+//! What only time and the cloud bring: ticks, lists of machines, machine types.
+
+use super::Planning;
+use crate::node::{now, Node};
+use crate::settling::Shared;
+use corkfield_cloud::CloudError;
+use corkfield_state::Use;
+use corkfield_wire::cloud::{MachineType, RentRequest};
+use corkfield_wire::records::{TypesRecord, PLANNER, TYPES};
+use corkfield_wire::store::Txn;
+use std::time::Duration;
+
+const ADJUST_SOON: Duration = Duration::from_millis(200);
+
+/// Machines are rented and returned this often, or that soon after a claim.
+const ADJUST: Duration = Duration::from_secs(1);
+
+impl Planning<'_> {
+    pub(super) async fn ticking(&self) {
+        let mut adjusted = None;
+        loop {
+            // A claim is followed by a look at the machines without delay: boots take long.
+            let claimed = self.claimed.notified();
+            let woken = tokio::time::timeout(Duration::from_millis(250), claimed).await.is_ok();
+            let at = now();
+            // Another may plan by now, with machines that from here seem idle, silent or never
+            // to have come up. While the service is out for all nobody can have taken over since.
+            let may_adjust =
+                self.node.leader.may_start(self.node) || self.node.peers.nobody_has_store();
+            let mut planner = self.planner.borrow_mut();
+            planner.tick(at);
+            let age = adjusted.map(|before| at.saturating_duration_since(before));
+            let due = if woken { ADJUST_SOON } else { ADJUST };
+            if may_adjust && age.is_none_or(|age| age >= due) {
+                adjusted = Some(at);
+                planner.adjust_machines(at);
+            }
+            drop(planner);
+            self.node.leader.actions.notify_one();
+            self.node.leader.want_pass();
+        }
+    }
+
+    pub(super) async fn listing(&self) {
+        let rps = self.node.settings.platform.params.cloud.rps;
+        let interval = Duration::from_secs_f64((6.0 / rps.max(0.1)).clamp(2.0, 10.0));
+        loop {
+            let asked = now();
+            match self.node.cloud.machines().await {
+                Ok(list) => {
+                    self.planner.borrow_mut().on_list(&list, asked, now());
+                    self.node.leader.actions.notify_one();
+                }
+                Err(error) => tracing::debug!(%error, "can't list machines"),
+            }
+            tokio::time::sleep(interval).await;
+        }
+    }
+
+    /// Machine types come from the cloud, and are kept in the store for when it is away.
+    pub(super) async fn typing(&self) {
+        loop {
+            match self.node.cloud.types().await {
+                Ok(types) => {
+                    let known = self.node.follower.cache.borrow().types.clone();
+                    self.planner.borrow_mut().set_types(types.clone());
+                    if known.is_none_or(|known| !same_types(&known, &types)) {
+                        let value = serde_json::to_value(TypesRecord { types }).unwrap_or_default();
+                        let txn =
+                            Txn::default().when(PLANNER, self.version.get()).put(TYPES, value);
+                        if let Err(error) = self.node.state.txn(Use::Claim, &txn).await {
+                            tracing::debug!(%error, "can't keep the machine types");
+                        }
+                    }
+                    tokio::time::sleep(Duration::from_secs(20)).await;
+                }
+                Err(error) => {
+                    tracing::debug!(%error, "can't read the machine types");
+                    tokio::time::sleep(Duration::from_secs(1)).await;
+                }
+            }
+        }
+    }
+}
+
+/// Prices of spot machines move all the time; that alone is not worth a write.
+fn same_types(a: &[MachineType], b: &[MachineType]) -> bool {
+    let plain = |t: &MachineType| MachineType { spot_price: 0.0, ..t.clone() };
+    a.len() == b.len() && a.iter().zip(b).all(|(a, b)| plain(a) == plain(b))
+}
+
+pub(super) async fn rent(node: &Node, planner: &Shared, request: &RentRequest) {
+    let mut outcome = Err(false);
+    for _ in 0..4 {
+        match node.cloud.rent(request).await {
+            Ok(names) => {
+                outcome = Ok(names);
+                break;
+            }
+            Err(CloudError::NoCapacity) => {
+                outcome = Err(true);
+                break;
+            }
+            Err(CloudError::NoAnswer(error)) => {
+                // The same name again gets the same machines, if it was carried out.
+                tracing::debug!(%error, request = %request.request, "rental not answered");
+                tokio::time::sleep(Duration::from_millis(500)).await;
+            }
+            Err(error) => {
+                tracing::debug!(%error, "rental refused");
+                break;
+            }
+        }
+    }
+    planner.borrow_mut().rented(request, outcome, now());
+}
