--- a/crates/corkfield/tests/combined_faults/cancellations.rs
+++ b/crates/corkfield/tests/combined_faults/cancellations.rs
@@ -42,7 +42,11 @@
         for planner_ends_s in [-1.0, 0.0, 1.5, 6.0] {
             scenario(4, |cluster| async move {
                 let (cancelled, next) = (capped(1, 6, 1.0), capped(2, 12, 2.0));
+                let newest = capped(3, 6, 2.0);
                 cluster.submit(&cancelled, 300.0).await;
+                // Keeps the other machines, and leaves room on one of them.
+                let filler = spec(4, 20);
+                cluster.submit(&filler, 40.0).await;
                 secs(4.0).await;
                 assert_eq!(cluster.ledger.running(&cancelled.id), 6, "the team is at its limit");
                 cluster.submit(&next, 3.0).await;
@@ -59,11 +63,15 @@
                     secs(planner_ends_s).await;
                     cluster.restart(cluster.planner_node(), 0.3).await;
                 }
+                // Nobody can have begun this one, so only the limit holds it back.
+                cluster.submit(&newest, 3.0).await;
                 // What goes on within its lease still runs its cancelled tasks at first.
                 secs(LEASE_S - 3.0 - f64::max(planner_ends_s, 0.0)).await;
                 silent.iter().for_each(|worker| set_silent(&cluster, worker, silence, false));
                 cluster.cloud.down.set(false);
-                cluster.until_done(&next.id, 150.0).await;
+                for job in [&next, &newest, &filler] {
+                    cluster.until_done(&job.id, 150.0).await;
+                }
                 assert_eq!(cluster.ledger.running(&cancelled.id), 0);
             });
         }
--- a/crates/corkfield/tests/combined_faults/lost_answers.rs
+++ b/crates/corkfield/tests/combined_faults/lost_answers.rs
@@ -79,11 +79,11 @@
                 let (kept, cancelled) = (spec(1, 6), spec(2, 4));
                 let submitting = cluster.clone();
                 let first = kept.clone();
-                let submission = tokio::task::spawn_local(async move {
-                    submitting.submit(&first, 3.0).await;
-                });
+                let submission =
+                    tokio::task::spawn_local(async move { submitting.submit(&first, 3.0).await });
                 watch_all(&cluster, &kept.id, 1.5).await;
-                submission.await.expect("accepted");
+                let status = submission.await.expect("no panic");
+                assert!(matches!(status, 200 | 201), "{commit:?}: answered with {status}");
                 cluster.submit(&cancelled, 200.0).await;
                 secs(4.0).await;
                 let (cancelling, id) = (cluster.clone(), cancelled.id.clone());
--- a/crates/corkfield/tests/combined_faults/many_small_jobs.rs
+++ b/crates/corkfield/tests/combined_faults/many_small_jobs.rs
@@ -55,8 +55,9 @@
             job.await.expect("done or cancelled in time");
         }
         cluster.until_done(&array.id, 60.0).await;
+        // Accepted, claimed, running, and over (two changes): five, and the array's own.
         let per_job = changes.get() as f64 / f64::from(JOBS_IN_ALL);
-        assert!(per_job < 7.0, "{per_job} changes a job");
+        assert!(per_job < 5.9, "{per_job} changes a job");
         secs(2.0).await;
         assert_eq!(cluster.store.keys(JOBS), Vec::<String>::new(), "no record is left behind");
         for number in 0..JOBS_IN_ALL {
