--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,6 @@
 
 pub use config::Config;
 pub use job::{Job, JobState, Placed};
-pub use machine::{Hearing, Held, HeldState, Machine, MachineState, Recorded};
+pub use machine::{Machine, MachineState, MachineTask, MachineTaskState, Reachability, Recorded};
 pub use planner::{Action, Overview, Planner, Settlement, Verdict};
 pub use team::{fits_some_type, Misfit};
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -35,19 +35,19 @@
 
 /// Whether what is ordered reaches the worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Hearing {
-    Good,
+pub enum Reachability {
+    Reachable,
     /// Starts were not taken, this many reports in a row.
     Doubtful(u32),
     /// Its reports come, but nothing reaches it: no supply until it answers.
-    Deaf,
+    Unreachable,
 }
 
 /// So many reports in a row without the starts that were sent before them.
-const DEAF_AFTER: u32 = 2;
+const UNREACHABLE_AFTER: u32 = 2;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum HeldState {
+pub enum MachineTaskState {
     /// Chosen, but no order has left yet.
     Assigned,
     /// The start was sent as the answer to the report with this session and number.
@@ -66,8 +66,8 @@
 
 /// A task that is, or may be, on a machine.
 #[derive(Debug, Clone)]
-pub struct Held {
-    pub state: HeldState,
+pub struct MachineTask {
+    pub state: MachineTaskState,
     pub since: Instant,
     /// What it takes; unknown for tasks of jobs that are not known any more.
     pub spec: Option<Need>,
@@ -92,9 +92,9 @@
     }
 }
 
-impl Held {
+impl MachineTask {
     /// The one place where the state of a task on a machine changes.
-    pub(crate) fn enter(&mut self, state: HeldState, now: Instant) {
+    pub(crate) fn enter(&mut self, state: MachineTaskState, now: Instant) {
         if self.state != state {
             self.state = state;
             self.since = now;
@@ -110,7 +110,7 @@
 
     /// Whether it takes room on the machine and of its team's limit.
     pub fn takes_room(&self) -> bool {
-        !matches!(self.state, HeldState::Done | HeldState::Exited)
+        !matches!(self.state, MachineTaskState::Done | MachineTaskState::Exited)
     }
 }
 
@@ -137,26 +137,26 @@
 /// each planning pass costs more than a controller's processor share, so totals are kept until
 /// the tasks may have changed: any mutable access drops them.
 #[derive(Debug, Default)]
-pub struct HeldTasks {
-    tasks: BTreeMap<(TaskId, u64), Held>,
+pub struct MachineTasks {
+    tasks: BTreeMap<(TaskId, u64), MachineTask>,
     totals: OnceCell<Totals>,
 }
 
-impl Deref for HeldTasks {
-    type Target = BTreeMap<(TaskId, u64), Held>;
+impl Deref for MachineTasks {
+    type Target = BTreeMap<(TaskId, u64), MachineTask>;
     fn deref(&self) -> &Self::Target {
         &self.tasks
     }
 }
 
-impl DerefMut for HeldTasks {
+impl DerefMut for MachineTasks {
     fn deref_mut(&mut self) -> &mut Self::Target {
         self.totals.take();
         &mut self.tasks
     }
 }
 
-impl HeldTasks {
+impl MachineTasks {
     pub(crate) fn has_tasks_of(&self, job: &JobId) -> bool {
         let first = (TaskId { job: job.clone(), index: 0 }, 0);
         self.tasks.range(first..).next().is_some_and(|((task, _), _)| task.job == *job)
@@ -166,7 +166,7 @@
         self.totals.get_or_init(|| {
             let mut totals = Totals::default();
             for ((task, _), held) in &self.tasks {
-                if matches!(held.state, HeldState::Running | HeldState::Saving) {
+                if matches!(held.state, MachineTaskState::Running | MachineTaskState::Saving) {
                     match totals.running.iter_mut().find(|(job, _)| *job == task.job) {
                         Some((_, count)) => *count += 1,
                         None => totals.running.push((task.job.clone(), 1)),
@@ -182,7 +182,7 @@
 }
 
 impl Totals {
-    fn add(&mut self, held: &Held) {
+    fn add(&mut self, held: &MachineTask) {
         self.tasks += 1;
         self.uncounted |= held.team.is_none();
         let Some(need) = &held.spec else {
@@ -239,7 +239,7 @@
     answered_term: u64,
     /// The highest term that its reports have shown.
     pub(crate) shown_term: u64,
-    hearing: Hearing,
+    reachability: Reachability,
     /// Direct orders in a row that were not answered.
     pub(crate) unanswered: u32,
     /// The newest of its reports that were older than what is known, and how many came.
@@ -247,7 +247,7 @@
     pub(crate) lapsed: bool,
     pub(crate) notice: bool,
     pub(crate) idle_since: Option<Instant>,
-    pub held: HeldTasks,
+    pub held: MachineTasks,
     /// Images that it probably has, the most recently used last.
     pub(crate) images: Vec<(String, f64)>,
     /// Jobs whose tasks failed here since a task last completed here.
@@ -289,13 +289,13 @@
             answered_before: now,
             answered_term: 0,
             shown_term: 0,
-            hearing: Hearing::Good,
+            reachability: Reachability::Reachable,
             unanswered: 0,
             behind: ((0, 0), 0),
             lapsed: false,
             notice: false,
             idle_since: None,
-            held: HeldTasks::default(),
+            held: MachineTasks::default(),
             images: Vec::new(),
             failed_jobs: Vec::new(),
             failures: 0,
@@ -318,25 +318,25 @@
         self.state = state;
     }
 
-    pub fn hearing(&self) -> Hearing {
-        self.hearing
+    pub fn reachability(&self) -> Reachability {
+        self.reachability
     }
 
-    /// The one place where its hearing changes. `taken` tells what its newest report says of
+    /// The one place where its reachability changes. `taken` tells what its newest report says of
     /// the starts sent before; an answer to a direct order proves that it hears.
-    pub(crate) fn heard(&mut self, taken: bool) {
-        let next = match (taken, self.hearing) {
-            (true, _) => Hearing::Good,
-            (false, Hearing::Good) => Hearing::Doubtful(1),
-            (false, Hearing::Doubtful(times)) if times + 1 < DEAF_AFTER => {
-                Hearing::Doubtful(times + 1)
+    pub(crate) fn note_delivery(&mut self, taken: bool) {
+        let next = match (taken, self.reachability) {
+            (true, _) => Reachability::Reachable,
+            (false, Reachability::Reachable) => Reachability::Doubtful(1),
+            (false, Reachability::Doubtful(times)) if times + 1 < UNREACHABLE_AFTER => {
+                Reachability::Doubtful(times + 1)
             }
-            (false, _) => Hearing::Deaf,
+            (false, _) => Reachability::Unreachable,
         };
-        if (next == Hearing::Deaf) != (self.hearing == Hearing::Deaf) {
-            tracing::debug!(machine = %self.name, from = ?self.hearing, to = ?next, "hearing");
+        if (next == Reachability::Unreachable) != (self.reachability == Reachability::Unreachable) {
+            tracing::debug!(machine = %self.name, from = ?self.reachability, to = ?next, "reachability");
         }
-        self.hearing = next;
+        self.reachability = next;
     }
 
     /// Its first report, or the first after a lapse, is going to be answered, perhaps not at
@@ -362,7 +362,7 @@
         }
     }
 
-    /// Room that no task takes; none while something of unknown size is there.
+    /// Capacity that no task takes; none while something of unknown size is there.
     pub(crate) fn free(&self) -> Option<Need> {
         let size = self.size.as_ref()?;
         let totals = self.held.totals();
@@ -395,7 +395,7 @@
             && self.fresh
             && !self.lapsed
             && !self.notice
-            && self.hearing != Hearing::Deaf
+            && self.reachability != Reachability::Unreachable
             && self.recorded == Recorded::Yes
             && self.heard_at.is_some_and(|at| now.duration_since(at) <= silence)
             && self.shunned_until.is_none_or(|until| now >= until)
@@ -421,10 +421,14 @@
         self.held.iter().filter_map(|((task, attempt), held)| {
             let grace = held.stop?;
             let again = match held.state {
-                HeldState::Ordered { .. } | HeldState::Fetching | HeldState::Running => true,
+                MachineTaskState::Ordered { .. }
+                | MachineTaskState::Fetching
+                | MachineTaskState::Running => true,
                 // A task that saves is let be, unless it has to go at once.
-                HeldState::Saving => grace.is_zero(),
-                HeldState::Assigned | HeldState::Done | HeldState::Exited => false,
+                MachineTaskState::Saving => grace.is_zero(),
+                MachineTaskState::Assigned | MachineTaskState::Done | MachineTaskState::Exited => {
+                    false
+                }
             };
             let grace_s = grace.as_secs_f64();
             again.then(|| Order::Stop { task: task.clone(), attempt: *attempt, grace_s })
--- a/crates/core/src/placement/rooms.rs
+++ b/crates/core/src/placement/capacity.rs
@@ -11,10 +11,10 @@
 
 impl Planner {
     /// What there is room in for the jobs that wait.
-    pub(super) fn rooms(&mut self, queue: &[(JobId, u32)], now: Instant) -> Rooms {
+    pub(super) fn rooms(&mut self, queue: &[(JobId, u32)], now: Instant) -> ClusterCapacity {
         let silence = self.config.silence();
         let least = Need { cpus: f64::MAX, gpus: f64::MAX, memory_gb: f64::MAX };
-        let mut rooms = Rooms { least, ..Rooms::default() };
+        let mut rooms = ClusterCapacity { least, ..ClusterCapacity::default() };
         for (id, _) in queue {
             let spec = self.jobs[id].spec();
             rooms.least = rooms.least.least(&Need::of(spec));
@@ -41,7 +41,16 @@
             let reserved = Need::default();
             let by_priority = machine.held.totals().by_priority;
             let spot = machine.spot;
-            rooms.all.push(Room { name, free, zone, spot, probing, slow, reserved, by_priority });
+            rooms.all.push(MachineCapacity {
+                name,
+                free,
+                zone,
+                spot,
+                probing,
+                slow,
+                reserved,
+                by_priority,
+            });
             rooms.open.push(n);
             rooms.keepable.push(n);
             for (image, _) in &machine.images {
@@ -55,7 +64,7 @@
 
     /// Keeps room for the waiting tasks of an urgent job, on machines where it will come free
     /// by itself: otherwise smaller tasks of less important jobs would fill each gap first.
-    pub(super) fn reserve(&self, id: &JobId, rooms: &mut Rooms) {
+    pub(super) fn reserve(&self, id: &JobId, rooms: &mut ClusterCapacity) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec();
         if spec.priority > Priority::High || spec.cpus <= 0.0 {
@@ -66,7 +75,7 @@
             return;
         }
         let need = Need::of(spec);
-        let Rooms { all: rooms, keepable, least, top, .. } = rooms;
+        let ClusterCapacity { all: rooms, keepable, least, top, .. } = rooms;
         let top = top.unwrap_or(spec.priority);
         self.steps.set(self.steps.get() + keepable.len() as u64);
         let mut slots: Vec<(u32, f64, usize)> = Vec::new();
@@ -100,7 +109,7 @@
 }
 
 /// A machine with room, during one pass.
-pub(super) struct Room {
+pub(super) struct MachineCapacity {
     pub(super) name: String,
     pub(super) free: Need,
     pub(super) zone: String,
@@ -115,7 +124,7 @@
     pub(super) by_priority: [Need; 4],
 }
 
-impl Room {
+impl MachineCapacity {
     pub(super) fn fits(&self, need: &Need) -> bool {
         let mut left = self.free;
         left.take(&self.reserved);
@@ -136,8 +145,8 @@
 /// The rooms of one pass. Looking at each of them for each waiting job is what a pass costs, so
 /// those that no waiting task fits into any more are left out.
 #[derive(Default)]
-pub(super) struct Rooms {
-    pub(super) all: Vec<Room>,
+pub(super) struct ClusterCapacity {
+    pub(super) all: Vec<MachineCapacity>,
     /// Those into which the least that waits may fit, now or once lower priorities are gone.
     pub(super) open: Vec<usize>,
     pub(super) keepable: Vec<usize>,
@@ -150,7 +159,7 @@
 
 /// Where in the list the roomiest machine is, among a sample if they are many.
 pub(super) fn roomiest(
-    rooms: &[Room],
+    rooms: &[MachineCapacity],
     list: &[usize],
     sample: usize,
     rng: &mut SmallRng,
@@ -166,7 +175,7 @@
 }
 
 pub(super) fn roomiest_zone<'a>(
-    rooms: &[Room],
+    rooms: &[MachineCapacity],
     candidates: impl Iterator<Item = &'a usize>,
     need: &Need,
 ) -> String {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -1,17 +1,17 @@
 //! Placement: a machine holding the image, else the roomiest in the job's zone, if any.
 
+mod capacity;
 mod preemption;
 mod queue;
-mod rooms;
 
-use crate::machine::{Held, HeldState, Need};
+use crate::machine::{MachineTask, MachineTaskState, Need};
 use crate::planner::{Action, Planner};
 use crate::team::{is_limited, within_guarantee, within_limit, Usage};
+use capacity::roomiest;
+use capacity::roomiest_zone;
+use capacity::ClusterCapacity;
+use capacity::MachineCapacity;
 use corkfield_wire::{JobId, TaskId};
-use rooms::roomiest;
-use rooms::roomiest_zone;
-use rooms::Room;
-use rooms::Rooms;
 use std::collections::BTreeMap;
 use std::time::Instant;
 
@@ -62,7 +62,7 @@
     fn place_passed_over(
         &mut self,
         jobs: &[JobId],
-        rooms: &mut Rooms,
+        rooms: &mut ClusterCapacity,
         usage: &mut [Usage],
         hidden: Option<Usage>,
         now: Instant,
@@ -77,7 +77,7 @@
         &mut self,
         id: &JobId,
         reach: Reach,
-        rooms: &mut Rooms,
+        rooms: &mut ClusterCapacity,
         usage: &mut [Usage],
         hidden: Option<Usage>,
         now: Instant,
@@ -106,15 +106,15 @@
         if fencing && together && job.record.begun_before > 0 {
             return;
         }
-        let Rooms { all: rooms, open, least, holding: by_image, .. } = rooms;
+        let ClusterCapacity { all: rooms, open, least, holding: by_image, .. } = rooms;
         let spec = &job.record.spec;
         // Which hold the image is looked up once: a job may place thousands of tasks.
         let mut others: Vec<usize> = Vec::new();
-        let holds = |room: &Room| match reach {
+        let holds = |room: &MachineCapacity| match reach {
             Reach::One => room.free.holds(&need),
             Reach::Guaranteed | Reach::All => room.fits(&need),
         };
-        let suits = |room: &Room| {
+        let suits = |room: &MachineCapacity| {
             holds(room)
                 && (spec.spot || !room.spot)
                 && spec.zone.as_ref().is_none_or(|zone| *zone == room.zone)
@@ -214,8 +214,8 @@
             };
             let attempt = job.next_attempt();
             let task = TaskId { job: id.clone(), index };
-            let held = Held {
-                state: HeldState::Assigned,
+            let held = MachineTask {
+                state: MachineTaskState::Assigned,
                 since: now,
                 spec: Some(need),
                 team: Some(job.team),
--- a/crates/core/src/placement/preemption.rs
+++ b/crates/core/src/placement/preemption.rs
@@ -1,7 +1,7 @@
 //! Work that is stopped for other work, the cheapest loss first.
 
 use crate::job::Job;
-use crate::machine::{Held, HeldState, Need};
+use crate::machine::{MachineTask, MachineTaskState, Need};
 use crate::planner::{direct, Planner};
 use crate::team::{within_guarantee, within_limit, Usage};
 use corkfield_wire::{JobId, Priority, TaskId};
@@ -47,7 +47,7 @@
             return;
         }
         let silence = self.config.silence();
-        // Room that is being made already.
+        // Capacity that is being freed already.
         let mut coming: f64 = self.machines.values().map(|m| m.held.totals().stopping_cpus).sum();
         let working = self.machines.values().filter(|m| m.takes_work(now, silence));
         let mut working: Vec<(f64, String, [f64; 4])> = working
@@ -173,9 +173,9 @@
     }
 
     /// What is lost if the task is stopped; `None` if it should not be.
-    fn loss(&self, job: &Job, other: &Job, held: &Held, now: Instant) -> Option<f64> {
-        let running = held.state == HeldState::Running;
-        if !(running || held.state == HeldState::Fetching) || held.stop.is_some() {
+    fn loss(&self, job: &Job, other: &Job, held: &MachineTask, now: Instant) -> Option<f64> {
+        let running = held.state == MachineTaskState::Running;
+        if !(running || held.state == MachineTaskState::Fetching) || held.stop.is_some() {
             return None;
         }
         let ran = now.saturating_duration_since(held.since).as_secs_f64();
--- a/crates/core/src/planner/claims.rs
+++ b/crates/core/src/planner/claims.rs
@@ -2,7 +2,7 @@
 
 use super::{direct, Action, Planner};
 use crate::job::{Job, JobState, Placed};
-use crate::machine::HeldState;
+use crate::machine::MachineTaskState;
 use corkfield_wire::records::JobRecord;
 use corkfield_wire::worker::Order;
 use corkfield_wire::{JobId, TaskId, TaskSet};
@@ -50,7 +50,7 @@
             for ((task, attempt), held) in machine.held.iter_mut().filter(|((t, _), _)| t.job == id)
             {
                 held.belongs_to(job.spec(), team);
-                if held.state == HeldState::Done {
+                if held.state == MachineTaskState::Done {
                     job.finish(task.index);
                 } else if held.takes_room() && !job.active().contains_key(&task.index) {
                     held.stop = None;
@@ -106,9 +106,9 @@
     fn stop_job(&mut self, id: &JobId) {
         let mut orders: Vec<Action> = Vec::new();
         for machine in self.machines.values_mut().filter(|m| m.held.has_tasks_of(id)) {
-            machine
-                .held
-                .retain(|(task, _), held| !(task.job == *id && held.state == HeldState::Assigned));
+            machine.held.retain(|(task, _), held| {
+                !(task.job == *id && held.state == MachineTaskState::Assigned)
+            });
             let mut stops = Vec::new();
             for ((task, attempt), held) in machine.held.iter_mut() {
                 if task.job == *id && held.takes_room() {
--- a/crates/core/src/planner/machines.rs
+++ b/crates/core/src/planner/machines.rs
@@ -1,7 +1,7 @@
 //! Machines that come, go, or are silent for too long.
 
 use super::{Action, Planner};
-use crate::machine::{Held, Machine, MachineState, Recorded};
+use crate::machine::{Machine, MachineState, MachineTask, Recorded};
 use corkfield_wire::cloud::{ListedMachine, ListedState, MachineType, MAX_DELETE};
 use corkfield_wire::TaskId;
 use std::collections::BTreeSet;
@@ -9,7 +9,7 @@
 
 /// Names of machines that are gone, kept so that late messages don't bring them back.
 const MAX_GONE: usize = 20_000;
-const RETRY: Duration = Duration::from_secs(3);
+const DELETE_RETRY: Duration = Duration::from_secs(3);
 
 impl Planner {
     pub fn set_types(&mut self, types: Vec<MachineType>) {
@@ -47,7 +47,7 @@
         }
     }
 
-    pub(super) fn drop_held(&mut self, name: &str, which: impl Fn(&Held) -> bool) {
+    pub(super) fn drop_held(&mut self, name: &str, which: impl Fn(&MachineTask) -> bool) {
         let Some(machine) = self.machines.get(name) else {
             return;
         };
@@ -133,7 +133,7 @@
 
     pub(super) fn tick_machines(&mut self, now: Instant) {
         let mut delete = Vec::new();
-        let again = self.last_delete.is_none_or(|at| now.duration_since(at) >= RETRY);
+        let again = self.last_delete.is_none_or(|at| now.duration_since(at) >= DELETE_RETRY);
         for machine in self.machines.values_mut() {
             if machine.state() == MachineState::Draining && machine.held.is_empty() {
                 machine.enter(MachineState::Deleting);
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::config::Config;
 use crate::job::{Job, JobState};
-use crate::machine::{Hearing, Held, HeldState, Machine, MachineState};
+use crate::machine::{Machine, MachineState, MachineTask, MachineTaskState, Reachability};
 use crate::renting::Renting;
 use crate::team::Usage;
 use corkfield_wire::cloud::{MachineType, RentRequest};
@@ -117,7 +117,7 @@
     noted: BTreeMap<&'static str, (u32, String)>,
     noted_at: Option<Instant>,
     deaf: usize,
-    /// Rooms and tasks looked at in planning passes.
+    /// Machines and tasks looked at in planning passes.
     pub(crate) steps: Cell<u64>,
 }
 
@@ -185,7 +185,11 @@
         if self.noted_at.is_some_and(recently) {
             return;
         }
-        let deaf = self.machines.values().filter(|m| m.hearing() == Hearing::Deaf).count();
+        let deaf = self
+            .machines
+            .values()
+            .filter(|m| m.reachability() == Reachability::Unreachable)
+            .count();
         if deaf != std::mem::replace(&mut self.deaf, deaf) {
             tracing::info!(machines = deaf, "report but take no orders");
             self.noted_at = Some(now);
@@ -211,9 +215,10 @@
                 machine.lapsed = true;
                 machine.fresh = false;
                 machine.ended_sessions = machine.session;
-                let ordered = |held: &Held| matches!(held.state, HeldState::Ordered { .. });
+                let ordered =
+                    |held: &MachineTask| matches!(held.state, MachineTaskState::Ordered { .. });
                 if machine.held.values().any(ordered) {
-                    machine.heard(false);
+                    machine.note_delivery(false);
                 }
                 lapsed.push(machine.name.clone());
                 continue;
@@ -230,7 +235,7 @@
             self.drop_held(&name, |_| true);
         }
         for name in unassign {
-            self.drop_held(&name, |held| held.state == HeldState::Assigned);
+            self.drop_held(&name, |held| held.state == MachineTaskState::Assigned);
         }
         for job in self.jobs.values_mut() {
             if matches!(job.state(), JobState::BackingOff(until) if now >= until) {
--- a/crates/core/src/planner/orders.rs
+++ b/crates/core/src/planner/orders.rs
@@ -1,7 +1,7 @@
 //! Answers to reports: which orders leave with them, and how long an answer may wait.
 
 use super::Planner;
-use crate::machine::{Held, HeldState, MachineState};
+use crate::machine::{MachineState, MachineTask, MachineTaskState};
 use corkfield_wire::worker::Order;
 use std::time::{Duration, Instant};
 
@@ -19,7 +19,7 @@
 
     /// Whether starts wait for that machine's next report.
     pub fn has_starts_for(&self, name: &str) -> bool {
-        let assigned = |held: &Held| held.state == HeldState::Assigned;
+        let assigned = |held: &MachineTask| held.state == MachineTaskState::Assigned;
         self.machines.get(name).is_some_and(|machine| machine.held.values().any(assigned))
     }
 
@@ -55,11 +55,11 @@
             }
             let forget = match held.state {
                 // S9: stored before it is forgotten.
-                HeldState::Done => match job {
+                MachineTaskState::Done => match job {
                     Some(job) => !job.is_live() || job.is_stored(task.index),
                     None => true,
                 },
-                HeldState::Exited => true,
+                MachineTaskState::Exited => true,
                 _ => false,
             };
             if forget {
@@ -74,7 +74,7 @@
         let current = (machine.session, machine.seq) == (session, seq);
         if may_start && current && machine.takes_work(now, Duration::MAX) {
             for ((task, attempt), held) in machine.held.iter_mut() {
-                if held.state != HeldState::Assigned || orders.len() >= MAX_ORDERS {
+                if held.state != MachineTaskState::Assigned || orders.len() >= MAX_ORDERS {
                     continue;
                 }
                 let Some(job) = self.jobs.get(&task.job).filter(|j| j.may_start()) else {
@@ -83,7 +83,7 @@
                 // The order's generation must be that of the job's record.
                 debug_assert_eq!(*attempt >> 24, job.record.generation);
                 let waited_ms = now.saturating_duration_since(held.since).as_millis();
-                held.enter(HeldState::Ordered { session, seq }, now);
+                held.enter(MachineTaskState::Ordered { session, seq }, now);
                 tracing::debug!(%task, machine = name, attempt, seq, waited_ms, "start ordered");
                 orders.push(Order::Start { task: task.clone(), attempt: *attempt });
             }
--- a/crates/core/src/planner/reports.rs
+++ b/crates/core/src/planner/reports.rs
@@ -2,7 +2,7 @@
 
 use super::{direct, Action, Planner, Verdict};
 use crate::job::{Job, JobState};
-use crate::machine::{Held, HeldState, Machine, MachineState, Recorded};
+use crate::machine::{Machine, MachineState, MachineTask, MachineTaskState, Recorded};
 use corkfield_wire::records::MachineRecord;
 use corkfield_wire::worker::{ExitCause, Order, Report, TaskPhase, TaskReport};
 use corkfield_wire::TaskId;
@@ -33,7 +33,7 @@
                 now,
             )
         });
-        // Held-back messages: older ones never count (S10), nor do those of sessions that
+        // Messages that were held back: older ones never count (S10), nor do those of sessions that
         // are known to have ended (S5). If they go on coming, and only they, the worker may have
         // begun to count anew.
         let order = (report.session, report.seq);
@@ -54,7 +54,7 @@
         if own_report {
             machine.reported(report.term);
         } else {
-            machine.heard(true);
+            machine.note_delivery(true);
         }
         machine.addr.clone_from(&report.addr);
         let gap = machine.heard_at.map(|at| now.saturating_duration_since(at));
@@ -115,13 +115,15 @@
             taken |= self.sync_task(name, task, prompt, now);
         }
         let (session, seq) = (report.session, report.seq);
-        let missing = |key: &(TaskId, u64), held: &Held| {
+        let missing = |key: &(TaskId, u64), held: &MachineTask| {
             let settled = match held.state {
-                HeldState::Assigned => false,
+                MachineTaskState::Assigned => false,
                 // A start travels only in the answer to a report, and the worker drops it after
                 // a while (S3). Only a later report of its own shows that it was not carried
                 // out; an answer to direct orders may have been made while it was under way.
-                HeldState::Ordered { session: s, seq: n } => own_report && (session, seq) > (s, n),
+                MachineTaskState::Ordered { session: s, seq: n } => {
+                    own_report && (session, seq) > (s, n)
+                }
                 _ => true,
             };
             settled && !reported.contains(key)
@@ -133,10 +135,10 @@
             .held
             .iter()
             .filter(|(k, h)| missing(k, h))
-            .map(|(k, h)| (k.clone(), matches!(h.state, HeldState::Ordered { .. })))
+            .map(|(k, h)| (k.clone(), matches!(h.state, MachineTaskState::Ordered { .. })))
             .collect();
         if taken || lost.iter().any(|(_, ordered)| *ordered) {
-            machine.heard(taken);
+            machine.note_delivery(taken);
         }
         for (key, _) in lost {
             self.release(name, &key);
@@ -157,15 +159,15 @@
             return false;
         };
         let state = match (task.phase, task.cause) {
-            (TaskPhase::Fetching, _) => HeldState::Fetching,
-            (TaskPhase::Running | TaskPhase::Other, _) => HeldState::Running,
-            (TaskPhase::Saving, _) => HeldState::Saving,
-            (TaskPhase::Exited, Some(ExitCause::Done)) => HeldState::Done,
-            (TaskPhase::Exited, _) => HeldState::Exited,
+            (TaskPhase::Fetching, _) => MachineTaskState::Fetching,
+            (TaskPhase::Running | TaskPhase::Other, _) => MachineTaskState::Running,
+            (TaskPhase::Saving, _) => MachineTaskState::Saving,
+            (TaskPhase::Exited, Some(ExitCause::Done)) => MachineTaskState::Done,
+            (TaskPhase::Exited, _) => MachineTaskState::Exited,
         };
         let before = machine.held.get(&key).map(|h| (h.state, h.since));
-        let taken = matches!(before, Some((HeldState::Ordered { .. }, _)));
-        let held = machine.held.entry(key.clone()).or_insert_with(|| Held {
+        let taken = matches!(before, Some((MachineTaskState::Ordered { .. }, _)));
+        let held = machine.held.entry(key.clone()).or_insert_with(|| MachineTask {
             state,
             since: now,
             spec: None,
@@ -185,21 +187,22 @@
         held.belongs_to(job.spec(), job.team);
         let index = task.task.index;
         match state {
-            HeldState::Done => {
+            MachineTaskState::Done => {
                 if job.finish(index) {
                     machine.failures = 0;
                     machine.failed_jobs.clear();
                     // A run time is known only if its beginning and its end were reported at
                     // once: a machine that couldn't report for a while is not a slow one.
                     let before = before.filter(|_| held.ours);
-                    if let (Some((HeldState::Running, since)), Some(gap)) = (before, prompt) {
+                    if let (Some((MachineTaskState::Running, since)), Some(gap)) = (before, prompt)
+                    {
                         let ran = now.duration_since(since);
                         Self::note_run(&mut self.corrections, job, machine, ran, gap);
                     }
                 }
             }
-            HeldState::Exited => {
-                if !matches!(before, Some((HeldState::Exited, _))) {
+            MachineTaskState::Exited => {
+                if !matches!(before, Some((MachineTaskState::Exited, _))) {
                     job.release(index, name, task.attempt);
                     self.note_exit(name, task, now);
                 }
@@ -310,7 +313,7 @@
                 continue;
             };
             let saves = job.spec().checkpoint_s > 0.0;
-            if held.state == HeldState::Running && saves && held.stop.is_none() {
+            if held.state == MachineTaskState::Running && saves && held.stop.is_none() {
                 saving.push((key.clone(), job.stop_grace()));
             }
         }
--- a/crates/core/src/planner/take_over.rs
+++ b/crates/core/src/planner/take_over.rs
@@ -1,7 +1,7 @@
 //! Take-over: which machines earlier planners may have used, and when each is accounted for (S7).
 
 use super::{Planner, Verdict};
-use crate::machine::{Hearing, Machine, MachineState, Recorded};
+use crate::machine::{Machine, MachineState, Reachability, Recorded};
 use corkfield_wire::records::MachineRecord;
 use corkfield_wire::worker::Report;
 use std::time::{Duration, Instant};
@@ -51,7 +51,7 @@
         let asked = self.machines.values().filter(|machine| {
             !machine.addr.is_empty()
                 && machine.state() != MachineState::Deleting
-                && (machine.hearing() == Hearing::Deaf
+                && (machine.reachability() == Reachability::Unreachable
                     || machine.behind.1 >= BEHIND_REPORTS
                     || self.unfenced.contains(&machine.name))
         });
--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -1,7 +1,7 @@
 //! Renting and returning machines.
 
 use crate::job::Job;
-use crate::machine::{allows, Hearing, Machine, MachineState};
+use crate::machine::{allows, Machine, MachineState, Reachability};
 use crate::planner::{Action, Planner};
 use corkfield_wire::cloud::{MachineType, RentRequest, MAX_RENT};
 use corkfield_wire::JobSpec;
@@ -191,7 +191,7 @@
             matches!(m.state(), MachineState::Up | MachineState::Booting)
                 && !m.notice
                 && !m.lapsed
-                && m.hearing() != Hearing::Deaf
+                && m.reachability() != Reachability::Unreachable
                 && !silent(m)
                 && suiting(m)
         };
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -1,6 +1,6 @@
 //! The planner alone: what settles a start, and what counts as fresh.
 
-use corkfield_core::{Action, Config, HeldState, Planner, Verdict};
+use corkfield_core::{Action, Config, MachineTaskState, Planner, Verdict};
 use corkfield_wire::cloud::{MachineType, RentRequest};
 use corkfield_wire::records::{JobRecord, MachineRecord};
 use corkfield_wire::settings::Team;
@@ -368,9 +368,9 @@
     planner.settled(&due[0], 6);
     planner.on_report(&report(4, 1, vec![done]), true, now);
     assert!(matches!(planner.orders("host-1", 1, 4, true, now)[..], [Order::Forget { .. }]));
-    let held: Vec<HeldState> =
+    let held: Vec<MachineTaskState> =
         planner.machine("host-1").expect("known").held.values().map(|h| h.state).collect();
-    assert_eq!(held, [HeldState::Done]);
+    assert_eq!(held, [MachineTaskState::Done]);
     assert!(planner.take_actions().iter().any(|a| matches!(a, Action::Record(..))));
 }
 
--- a/crates/corkfield/src/follow.rs
+++ b/crates/corkfield/src/follow.rs
@@ -4,8 +4,8 @@
 use corkfield_state::{StateError, Use};
 use corkfield_wire::cloud::MachineType;
 use corkfield_wire::records::{
-    FinalRecord, JobRecord, Knock, PlannerRecord, Presence, TypesRecord, CONTROLLERS, FOLLOWED,
-    JOBS, KNOCKS, PLANNER, TYPES,
+    FinalRecord, JobRecord, PlannerRecord, Presence, TransferRequest, TypesRecord, CONTROLLERS,
+    FOLLOWED, JOBS, PLANNER, TRANSFER_REQUESTS, TYPES,
 };
 use corkfield_wire::store::{Event, Events};
 use corkfield_wire::JobId;
@@ -26,8 +26,8 @@
     revision: u64,
     pub jobs: BTreeMap<JobId, (JobRecord, u64)>,
     pub controllers: BTreeMap<String, (Presence, u64)>,
-    /// Versions of the knocks, and when they were seen as news.
-    knocks: BTreeMap<String, (u64, Instant)>,
+    /// Versions of the transfer requests, and when each was first seen.
+    transfer_requests: BTreeMap<String, (u64, Instant)>,
     pub planner: Option<(PlannerRecord, u64)>,
     planner_since: Option<Instant>,
     pub types: Option<Vec<MachineType>>,
@@ -56,10 +56,10 @@
         self.revision
     }
 
-    /// Controllers at whose doors workers knocked within that time.
-    pub fn knocked_within(&self, time: Duration) -> impl Iterator<Item = &String> {
+    /// Controllers that asked for the planner's place within that time.
+    pub fn transfer_requested_within(&self, time: Duration) -> impl Iterator<Item = &String> {
         let recent = move |at: &Instant| now().saturating_duration_since(*at) < time;
-        self.knocks.iter().filter(move |(_, (_, at))| recent(at)).map(|(name, _)| name)
+        self.transfer_requests.iter().filter(move |(_, (_, at))| recent(at)).map(|(name, _)| name)
     }
 
     fn put(&mut self, key: &str, value: Value, version: u64) {
@@ -71,9 +71,9 @@
             if let Some(presence) = read(key, value) {
                 self.controllers.insert(node.to_owned(), (presence, version));
             }
-        } else if let Some(node) = key.strip_prefix(KNOCKS) {
-            if read::<Knock>(key, value).is_some() {
-                self.knocks.insert(node.to_owned(), (version, now()));
+        } else if let Some(node) = key.strip_prefix(TRANSFER_REQUESTS) {
+            if read::<TransferRequest>(key, value).is_some() {
+                self.transfer_requests.insert(node.to_owned(), (version, now()));
             }
         } else if key == PLANNER {
             self.planner = read(key, value).map(|record| (record, version));
@@ -95,8 +95,8 @@
 
     /// Applies what is news. Two reads may overlap; what the first brought is skipped, so that
     /// an older value never replaces a newer one.
-    fn apply(&mut self, events: Events) -> News {
-        let mut news = News::default();
+    fn apply(&mut self, events: Events) -> ReadChanges {
+        let mut news = ReadChanges::default();
         for event in events.events {
             match event {
                 Event::Put { key, value, version } if version > self.revision => {
@@ -119,9 +119,9 @@
     fn inherit(&mut self, before: &mut Self) {
         self.finals = std::mem::take(&mut before.finals);
         self.finals_order = std::mem::take(&mut before.finals_order);
-        // Old knocks are no news: a planner that was merely quiet would leave its place for them.
-        let known = &before.knocks;
-        self.knocks.retain(|name, (version, at)| match known.get(name) {
+        // Old transfer requests don't count again: a planner that was merely quiet would leave its place for them.
+        let known = &before.transfer_requests;
+        self.transfer_requests.retain(|name, (version, at)| match known.get(name) {
             Some((before, seen)) if before == version => {
                 *at = *seen;
                 true
@@ -136,7 +136,7 @@
 
 /// What a read changed.
 #[derive(Default)]
-struct News {
+struct ReadChanges {
     changed: bool,
     /// Jobs that are no longer unfinished.
     ended: Vec<JobId>,
--- a/crates/corkfield/src/leader/actions.rs
+++ b/crates/corkfield/src/leader/actions.rs
@@ -38,7 +38,7 @@
         let planner = self.planner.clone();
         match action {
             Action::Answer(machine) => {
-                if let Some(work) = node.leader.parked.borrow_mut().remove(&machine) {
+                if let Some(work) = node.leader.waiting_answers.borrow_mut().remove(&machine) {
                     work.notify_one();
                 }
             }
--- a/crates/corkfield/src/leader/fencing.rs
+++ b/crates/corkfield/src/leader/fencing.rs
@@ -58,9 +58,9 @@
     }
 
     /// Takes a term above one that a worker has seen.
-    pub(super) async fn outbidding(&self) {
+    pub(super) async fn raise_terms(&self) {
         loop {
-            let seen = self.node.leader.outbid.get();
+            let seen = self.node.leader.highest_seen_term.get();
             let term = self.planner.borrow().term();
             if seen <= term {
                 tokio::time::sleep(Duration::from_millis(200)).await;
@@ -128,7 +128,7 @@
         }
         let verdict = planner.borrow_mut().on_answer(&report, known, now());
         if let Verdict::HigherTerm(term) = verdict {
-            node.leader.outbid(term);
+            node.leader.saw_higher_term(term);
             return;
         }
         if reply.status != 409 || report.session == session {
--- a/crates/corkfield/src/leader/mod.rs
+++ b/crates/corkfield/src/leader/mod.rs
@@ -23,7 +23,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use take_over::{knock, take_over};
+use take_over::{request_transfer, take_over};
 use tokio::sync::Notify;
 
 pub use overview::overview;
@@ -35,7 +35,7 @@
 /// seconds' worth may come together.
 const STANDBY_BURST_S: f64 = 5.0;
 /// A planner known for this long has heard from all workers that reach it.
-const SETTLED: Duration = Duration::from_secs(10);
+const PLANNER_SETTLED_AFTER: Duration = Duration::from_secs(10);
 
 /// A pass looks at every machine: there is this much time between two for each of them.
 const PASS_PACE: Duration = Duration::from_micros(250);
@@ -47,7 +47,7 @@
 
 /// The claim of the planner record that this controller plans under.
 #[derive(Clone)]
-struct Tenure {
+struct PlannerClaim {
     incarnation: String,
     /// Version of the planner record that the claim rests on.
     version: Rc<Cell<u64>>,
@@ -55,7 +55,7 @@
 
 #[derive(Default)]
 pub struct Leader {
-    tenure: RefCell<Option<Tenure>>,
+    claim: RefCell<Option<PlannerClaim>>,
     cancelled: RefCell<Cancelled>,
     leading: Cell<bool>,
     planner: RefCell<Option<Shared>>,
@@ -66,11 +66,11 @@
     wanted: Notify,
     /// A planning pass has ended.
     planned: Notify,
-    parked: RefCell<HashMap<String, Rc<Notify>>>,
-    outbid: Cell<u64>,
+    waiting_answers: RefCell<HashMap<String, Rc<Notify>>>,
+    highest_seen_term: Cell<u64>,
     last_report: Cell<Option<Instant>>,
-    knocks: Cell<u64>,
-    knocking: Cell<bool>,
+    transfer_requests: Cell<u64>,
+    transfer_wanted: Cell<bool>,
     /// Machines to which direct orders are under way, and how many.
     directs: RefCell<HashMap<String, usize>>,
 }
@@ -96,10 +96,10 @@
     /// before each answer to a report, as the loop that ends the planner may be behind: fresh
     /// state that shows a successor is no proof to answer from (S6).
     pub fn is_replaced(&self, cache: &Cache) -> bool {
-        let tenure = self.tenure.borrow();
-        tenure.as_ref().is_none_or(|tenure| {
+        let claim = self.claim.borrow();
+        claim.as_ref().is_none_or(|claim| {
             cache.planner.as_ref().is_some_and(|(record, version)| {
-                record.incarnation != tenure.incarnation && *version > tenure.version.get()
+                record.incarnation != claim.incarnation && *version > claim.version.get()
             })
         })
     }
@@ -112,10 +112,10 @@
     /// Whether starts may leave (S4), and machines be returned: the lease that the claim rests on
     /// surely goes on. One that was lost and taken anew doesn't count for what was claimed before.
     pub fn may_start(&self, node: &Node) -> bool {
-        let tenure = self.tenure.borrow();
-        let Some(tenure) = tenure.as_ref() else { return false };
+        let claim = self.claim.borrow();
+        let Some(claim) = claim.as_ref() else { return false };
         node.presence.is_valid()
-            && node.presence.current().is_some_and(|now| now.incarnation == tenure.incarnation)
+            && node.presence.current().is_some_and(|now| now.incarnation == claim.incarnation)
     }
 
     /// These jobs are no longer unfinished. Stopping what was cancelled waits for nothing: not
@@ -200,21 +200,21 @@
     }
 
     /// A worker has seen a term above ours: the next one has to lie above it.
-    pub fn outbid(&self, term: u64) {
-        self.outbid.set(self.outbid.get().max(term));
+    pub fn saw_higher_term(&self, term: u64) {
+        self.highest_seen_term.set(self.highest_seen_term.get().max(term));
     }
 
     /// Notified when the machine's held-back answer should go.
     pub fn work_for(&self, machine: &str) -> Rc<Notify> {
         let work = Rc::new(Notify::new());
-        self.parked.borrow_mut().insert(machine.to_owned(), work.clone());
+        self.waiting_answers.borrow_mut().insert(machine.to_owned(), work.clone());
         work
     }
 
     pub fn release(&self, machine: &str, work: &Rc<Notify>) {
-        let mut parked = self.parked.borrow_mut();
-        if parked.get(machine).is_some_and(|current| Rc::ptr_eq(current, work)) {
-            parked.remove(machine);
+        let mut waiting_answers = self.waiting_answers.borrow_mut();
+        if waiting_answers.get(machine).is_some_and(|current| Rc::ptr_eq(current, work)) {
+            waiting_answers.remove(machine);
         }
     }
 
@@ -231,10 +231,10 @@
 
     /// A worker came here although the planner has been known for a while: it may be that the
     /// planner can't be reached. Workers that only look for a new planner are no such sign.
-    pub fn knocked(&self, planner_for: Duration) {
-        if planner_for > SETTLED {
-            self.knocks.set(self.knocks.get() + 1);
-            self.knocking.set(true);
+    pub fn worker_came_here(&self, planner_for: Duration) {
+        if planner_for > PLANNER_SETTLED_AFTER {
+            self.transfer_requests.set(self.transfer_requests.get() + 1);
+            self.transfer_wanted.set(true);
         }
     }
 
@@ -246,11 +246,11 @@
 
     fn end(&self) {
         self.leading.set(false);
-        *self.tenure.borrow_mut() = None;
+        *self.claim.borrow_mut() = None;
         *self.planner.borrow_mut() = None;
         self.ready.notify_waiters();
         self.planned.notify_waiters();
-        for work in self.parked.borrow_mut().drain() {
+        for work in self.waiting_answers.borrow_mut().drain() {
             work.1.notify_one();
         }
     }
@@ -277,7 +277,7 @@
     Share { requests: PLANNER_REQUESTS, writes: PLANNER_WRITES, burst_s: 1.0 };
 
 /// Stands by, and plans whenever the record can be claimed.
-pub async fn lead(node: Rc<Node>) {
+pub async fn run(node: Rc<Node>) {
     node.leader.end();
     node.state.set_share(standby_share(&node));
     loop {
@@ -292,7 +292,7 @@
         }
         let changed = node.follower.changed.notified();
         let _ = tokio::time::timeout(Duration::from_millis(300), changed).await;
-        knock(&node).await;
+        request_transfer(&node).await;
     }
 }
 
@@ -320,7 +320,7 @@
         reading: Rc::default(),
     };
     let incarnation = me.incarnation.clone();
-    *node.leader.tenure.borrow_mut() = Some(Tenure { incarnation, version });
+    *node.leader.claim.borrow_mut() = Some(PlannerClaim { incarnation, version });
     let types = node.follower.cache.borrow().types.clone();
     if let Some(types) = types {
         planning.planner.borrow_mut().set_types(types);
@@ -380,7 +380,7 @@
             self.listing(),
             self.fencing(),
             self.typing(),
-            self.outbidding(),
+            self.raise_terms(),
         );
     }
 
--- a/crates/corkfield/src/leader/take_over.rs
+++ b/crates/corkfield/src/leader/take_over.rs
@@ -4,7 +4,9 @@
 use crate::node::{now, Node};
 use crate::presence::Current;
 use corkfield_state::Use;
-use corkfield_wire::records::{controller_key, knock_key, Knock, PlannerRecord, PLANNER};
+use corkfield_wire::records::{
+    controller_key, transfer_request_key, PlannerRecord, TransferRequest, PLANNER,
+};
 use corkfield_wire::store::Txn;
 use std::time::Duration;
 
@@ -39,7 +41,7 @@
         }
     }
 
-    /// A planner that hears no workers, while they knock at another controller's door, leaves
+    /// A planner that hears no workers, while they come to another controller, leaves
     /// its place to that one.
     async fn hand_over(&self) -> bool {
         let quiet = self
@@ -56,7 +58,7 @@
         }
         let successor = {
             let cache = self.node.follower.cache.borrow();
-            let mut recent = cache.knocked_within(Duration::from_secs(3));
+            let mut recent = cache.transfer_requested_within(Duration::from_secs(3));
             recent.find(|name| **name != self.node.name).cloned()
         };
         let Some(successor) = successor else {
@@ -76,13 +78,14 @@
 }
 
 /// Tells the planner, through the store, that workers come here instead.
-pub(super) async fn knock(node: &Node) {
-    if node.leader.knocking.take() {
-        let count = node.leader.knocks.get();
-        let value = serde_json::to_value(Knock { count }).unwrap_or_default();
+pub(super) async fn request_transfer(node: &Node) {
+    if node.leader.transfer_wanted.take() {
+        let count = node.leader.transfer_requests.get();
+        let value = serde_json::to_value(TransferRequest { count }).unwrap_or_default();
         let planner = node.follower.cache.borrow().planner.as_ref().map_or(0, |p| p.1);
         // Carried out late, it must not drive out another planner than the one it is about.
-        let txn = Txn::default().when(PLANNER, planner).put(knock_key(&node.name), value);
+        let txn =
+            Txn::default().when(PLANNER, planner).put(transfer_request_key(&node.name), value);
         let _ = node.state.txn(Use::Housekeeping, &txn).await;
         tokio::time::sleep(Duration::from_millis(700)).await;
     }
@@ -132,7 +135,7 @@
         // Not all at once.
         node.pause(0..60).await;
     }
-    let term = old.map_or(0, |record| record.term).max(node.leader.outbid.get()) + 1;
+    let term = old.map_or(0, |record| record.term).max(node.leader.highest_seen_term.get()) + 1;
     let record = PlannerRecord {
         node: Some(node.name.clone()),
         incarnation: me.incarnation.clone(),
--- a/crates/corkfield/src/lib.rs
+++ b/crates/corkfield/src/lib.rs
@@ -4,7 +4,7 @@
 mod follow;
 mod leader;
 pub mod node;
-mod notices;
+mod notifications;
 mod peers;
 mod presence;
 pub mod settings;
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -2,11 +2,11 @@
 
 use crate::follow::Follower;
 use crate::leader::Leader;
-use crate::notices::Notices;
+use crate::notifications::Notifications;
 use crate::peers::Peers;
 use crate::presence::Presence;
 use crate::settings::Settings;
-use crate::workers::Strays;
+use crate::workers::RedirectedWorkers;
 use crate::{follow, leader, peers, presence, users, workers};
 use corkfield_cloud::CloudClient;
 use corkfield_http::{serve, Limits, Listener, Network, Request, Response};
@@ -35,8 +35,8 @@
     pub presence: Presence,
     pub leader: Leader,
     pub peers: Peers,
-    pub notices: Notices,
-    pub strays: Strays,
+    pub notifications: Notifications,
+    pub redirected: RedirectedWorkers,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -116,8 +116,8 @@
         presence: Presence::default(),
         leader: Leader::default(),
         peers: Peers::default(),
-        notices: Notices::default(),
-        strays: Strays::default(),
+        notifications: Notifications::default(),
+        redirected: RedirectedWorkers::default(),
         settings,
     });
     tracing::info!(node = %node.name, listen = %platform.listen, "controller started");
@@ -132,12 +132,12 @@
     tokio::task::spawn_local(serve(users_listener, limits, Rc::new(handler)));
     tokio::task::spawn_local(peers::listen(node.clone(), peers_listener));
     for peer in &platform.peers {
-        tokio::task::spawn_local(peers::talk(node.clone(), peer.node.clone(), peer.addr));
+        tokio::task::spawn_local(peers::maintain_link(node.clone(), peer.node.clone(), peer.addr));
     }
     tokio::task::spawn_local(supervise("watch", node.clone(), follow::watch));
     tokio::task::spawn_local(supervise("refresher", node.clone(), follow::refresher));
-    tokio::task::spawn_local(supervise("presence", node.clone(), presence::keep));
-    supervise("leader", node, leader::lead).await;
+    tokio::task::spawn_local(supervise("presence", node.clone(), presence::maintain_lease));
+    supervise("leader", node, leader::run).await;
     Ok(())
 }
 
--- a/crates/corkfield/src/notices.rs
+++ b/crates/corkfield/src/notifications.rs
@@ -13,35 +13,35 @@
 use tokio::sync::Notify;
 
 /// A user's answer waits this long for the planner's acknowledgement.
-const WAIT: Duration = Duration::from_millis(300);
-/// Without an acknowledgement a notice is sent again after this time.
-const AGAIN: Duration = Duration::from_millis(500);
-/// Notices that may be open for one controller, and that share a frame.
-const MAX_OPEN: usize = 4096;
+const ACKNOWLEDGEMENT_WAIT: Duration = Duration::from_millis(300);
+/// Without an acknowledgement a notification is sent again after this time.
+const RESEND_INTERVAL: Duration = Duration::from_millis(500);
+/// Notifications that may be open for one controller, and that share a frame.
+const MAX_UNACKNOWLEDGED: usize = 4096;
 const MAX_JOBS: usize = 256;
 
-/// A notice that was not acknowledged yet.
-struct Open {
+/// A notification that was not acknowledged yet.
+struct Unacknowledged {
     since: Instant,
     sent: Option<Instant>,
 }
 
 /// What each of the other controllers has still to acknowledge.
 #[derive(Default)]
-pub struct Notices {
-    open: RefCell<BTreeMap<String, BTreeMap<JobId, Open>>>,
-    /// Controllers for which a notice was dropped unacknowledged, and when the last one was.
+pub struct Notifications {
+    open: RefCell<BTreeMap<String, BTreeMap<JobId, Unacknowledged>>>,
+    /// Controllers for which a notification was dropped unacknowledged, and when the last one was.
     dropped: RefCell<BTreeMap<String, Instant>>,
     added: Notify,
     acknowledged: Notify,
 }
 
-impl Notices {
+impl Notifications {
     fn add(&self, peer: &str, id: &JobId) {
         let mut open = self.open.borrow_mut();
         let of_peer = open.entry(peer.to_owned()).or_default();
-        if of_peer.len() < MAX_OPEN {
-            of_peer.entry(id.clone()).or_insert(Open { since: now(), sent: None });
+        if of_peer.len() < MAX_UNACKNOWLEDGED {
+            of_peer.entry(id.clone()).or_insert(Unacknowledged { since: now(), sent: None });
         } else {
             self.dropped.borrow_mut().insert(peer.to_owned(), now());
         }
@@ -72,23 +72,25 @@
         self.acknowledged.notify_waiters();
     }
 
-    /// What is to be sent to that controller now. Older notices than `keep` are dropped: by then
+    /// What is to be sent to that controller now. Older notifications than `keep` are dropped: by then
     /// the answer limit has settled the matter.
     fn due(&self, peer: &str, keep: Duration) -> Vec<String> {
         let at = now();
         let mut open = self.open.borrow_mut();
         let Some(of_peer) = open.get_mut(peer) else { return Vec::new() };
         let before = of_peer.len();
-        of_peer.retain(|_, notice| at.saturating_duration_since(notice.since) < keep);
+        of_peer.retain(|_, notification| at.saturating_duration_since(notification.since) < keep);
         if of_peer.len() < before {
             self.dropped.borrow_mut().insert(peer.to_owned(), at);
         }
-        let due = of_peer.iter_mut().filter(|(_, notice)| {
-            notice.sent.is_none_or(|sent| at.saturating_duration_since(sent) >= AGAIN)
+        let due = of_peer.iter_mut().filter(|(_, notification)| {
+            notification
+                .sent
+                .is_none_or(|sent| at.saturating_duration_since(sent) >= RESEND_INTERVAL)
         });
         let mut jobs = Vec::new();
-        for (id, notice) in due.take(MAX_JOBS) {
-            notice.sent = Some(at);
+        for (id, notification) in due.take(MAX_JOBS) {
+            notification.sent = Some(at);
             jobs.push(id.to_string());
         }
         jobs
@@ -97,7 +99,7 @@
     /// A new link: whatever went over the one before may be lost.
     fn link_opened(&self, peer: &str) {
         if let Some(of_peer) = self.open.borrow_mut().get_mut(peer) {
-            of_peer.values_mut().for_each(|notice| notice.sent = None);
+            of_peer.values_mut().for_each(|notification| notification.sent = None);
         }
     }
 }
@@ -105,33 +107,33 @@
 /// Tells all controllers that the state service holds the job as cancelled, and waits a moment for
 /// whoever leads. Called only for what was committed or read here: a cancellation whose commit had
 /// no answer may never come about, and is not told.
-pub async fn tell(node: &Node, id: &JobId) {
+pub async fn notify_all(node: &Node, id: &JobId) {
     node.leader.cancelled(id);
     let peers = &node.settings.platform.peers;
-    peers.iter().for_each(|peer| node.notices.add(&peer.node, id));
-    node.notices.added.notify_waiters();
+    peers.iter().for_each(|peer| node.notifications.add(&peer.node, id));
+    node.notifications.added.notify_waiters();
     let leaders = node.peers.leaders(node);
     let all = async {
         loop {
-            let acknowledged = node.notices.acknowledged.notified();
-            if !leaders.iter().any(|peer| node.notices.is_open(peer, id)) {
+            let acknowledged = node.notifications.acknowledged.notified();
+            if !leaders.iter().any(|peer| node.notifications.is_open(peer, id)) {
                 return;
             }
             acknowledged.await;
         }
     };
-    let _ = tokio::time::timeout(WAIT, all).await;
+    let _ = tokio::time::timeout(ACKNOWLEDGEMENT_WAIT, all).await;
 }
 
 /// Sends what is due over a link, for as long as it takes frames.
 pub async fn send(node: &Node, peer: &str, put: impl Fn(Frame) -> bool) {
     let keep = node.settings.platform.params.workers.cancel();
-    node.notices.link_opened(peer);
+    node.notifications.link_opened(peer);
     loop {
-        let added = node.notices.added.notified();
-        let jobs = node.notices.due(peer, keep);
+        let added = node.notifications.added.notified();
+        let jobs = node.notifications.due(peer, keep);
         if jobs.is_empty() {
-            let _ = tokio::time::timeout(AGAIN, added).await;
+            let _ = tokio::time::timeout(RESEND_INTERVAL, added).await;
         } else if !put(Frame::Cancelled { jobs }) {
             return;
         }
--- a/crates/corkfield/src/peers.rs
+++ b/crates/corkfield/src/peers.rs
@@ -1,9 +1,9 @@
-//! The link between controllers: greetings, and reports of workers that can't reach the planner.
+//! The link between controllers: heartbeats, and reports of workers that can't reach the planner.
 
 use crate::node::{now, Node};
-use crate::{notices, workers};
+use crate::{notifications, workers};
 use corkfield_http::{Listener, Response, Stream};
-use corkfield_wire::peer::{Frame, Hello, MAX_FRAME};
+use corkfield_wire::peer::{Frame, Heartbeat, MAX_FRAME};
 use corkfield_wire::JobId;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -14,8 +14,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
-const INTERVAL: Duration = Duration::from_secs(1);
-const SILENCE: Duration = Duration::from_secs(4);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(4);
 /// A worker gives a report up after 4 s.
 const RELAY_LIMIT: Duration = Duration::from_millis(3500);
 const MAX_LINKS: usize = 32;
@@ -26,29 +26,29 @@
 
 type Pending = oneshot::Sender<Response>;
 
-/// Greetings of which the time of sending is kept, for each peer.
-const MAX_SENT: usize = 32;
+/// Heartbeats of which the time of sending is kept, for each peer.
+const MAX_SENT_HEARTBEATS: usize = 32;
 
 /// What another controller said last.
-struct Heard {
-    hello: Hello,
+struct LastHeartbeat {
+    heartbeat: Heartbeat,
     at: Instant,
     /// Since when it is the same process.
     process_since: Instant,
-    /// It vouched for this controller, as the planner, at this moment or later.
-    vouched: Option<Instant>,
+    /// It attested for this controller, as the planner, at this moment or later.
+    attested: Option<Instant>,
 }
 
-impl Heard {
+impl LastHeartbeat {
     fn is_recent(&self) -> bool {
-        now().saturating_duration_since(self.at) < SILENCE
+        now().saturating_duration_since(self.at) < HEARTBEAT_TIMEOUT
     }
 }
 
 #[derive(Default)]
 pub struct Peers {
-    heard: RefCell<BTreeMap<String, Heard>>,
-    /// Greetings sent to each, by number, and when.
+    heard: RefCell<BTreeMap<String, LastHeartbeat>>,
+    /// Heartbeats sent to each, by number, and when.
     sent: RefCell<BTreeMap<String, VecDeque<(u64, Instant)>>>,
     links: RefCell<BTreeMap<String, mpsc::Sender<Frame>>>,
     pending: RefCell<BTreeMap<u64, Pending>>,
@@ -56,44 +56,46 @@
 }
 
 impl Peers {
-    fn hear(&self, hello: Hello, echoed: Option<Instant>) {
-        let (node, at) = (hello.node.clone(), now());
+    fn hear(&self, heartbeat: Heartbeat, echoed: Option<Instant>) {
+        let (node, at) = (heartbeat.node.clone(), now());
         let mut heard = self.heard.borrow_mut();
         if heard.len() >= MAX_LINKS && !heard.contains_key(&node) {
             return;
         }
-        let before = heard.remove(&node).filter(|before| before.hello.process == hello.process);
+        let before =
+            heard.remove(&node).filter(|before| before.heartbeat.process == heartbeat.process);
         let process_since = before.as_ref().map_or(at, |before| before.process_since);
-        let vouched = before.and_then(|before| before.vouched);
+        let attested = before.and_then(|before| before.attested);
         // It was sent after what it echoes had come, and so after that was sent.
-        let vouched = vouched.max(echoed.filter(|_| hello.vouches));
-        heard.insert(node, Heard { hello, at, process_since, vouched });
+        let attested = attested.max(echoed.filter(|_| heartbeat.attests));
+        heard.insert(node, LastHeartbeat { heartbeat, at, process_since, attested });
     }
 
-    /// When the greeting that this one echoes was sent. One to a process before this one, with the
+    /// When the heartbeat that this one echoes was sent. One to a process before this one, with the
     /// same number, says nothing.
-    fn echoed(&self, hello: &Hello, process: u64) -> Option<Instant> {
+    fn echoed(&self, heartbeat: &Heartbeat, process: u64) -> Option<Instant> {
         let sent = self.sent.borrow();
-        let (_, at) = sent.get(&hello.node)?.iter().find(|(number, _)| *number == hello.echo)?;
-        (hello.echo_process == process).then_some(*at)
+        let (_, at) =
+            sent.get(&heartbeat.node)?.iter().find(|(number, _)| *number == heartbeat.echo)?;
+        (heartbeat.echo_process == process).then_some(*at)
     }
 
-    /// Notes that a greeting is sent; its number.
+    /// Notes that a heartbeat is sent; its number.
     fn sends(&self, peer: &str) -> u64 {
         let mut sent = self.sent.borrow_mut();
         let to_peer = sent.entry(peer.to_owned()).or_default();
         let number = to_peer.back().map_or(0, |(number, _)| *number) + 1;
         to_peer.push_back((number, now()));
-        if to_peer.len() > MAX_SENT {
+        if to_peer.len() > MAX_SENT_HEARTBEATS {
             to_peer.pop_front();
         }
         number
     }
 
-    /// How long ago all other controllers vouched that nobody else plans, and that this one heard
+    /// How long ago all other controllers attested that nobody else plans, and that this one heard
     /// of all cancellations confirmed (S6). `None` if one of them didn't, or is another process
     /// than when the state service was read last: what a process before it confirmed is not known.
-    pub fn vouched_age(&self, node: &Node) -> Option<Duration> {
+    pub fn attestation_age(&self, node: &Node) -> Option<Duration> {
         let platform = &node.settings.platform;
         let term = node.leader.term()?;
         let read = node.follower.proven_at()?;
@@ -101,18 +103,18 @@
             return None;
         }
         let heard = self.heard.borrow();
-        let vouched = platform.peers.iter().map(|peer| {
+        let attested = platform.peers.iter().map(|peer| {
             let heard = heard.get(&peer.node)?;
-            let counts = heard.hello.term == term && heard.process_since < read;
-            heard.vouched.filter(|_| counts)
+            let counts = heard.heartbeat.term == term && heard.process_since < read;
+            heard.attested.filter(|_| counts)
         });
-        let oldest = vouched.collect::<Option<Vec<Instant>>>()?.into_iter().min()?;
+        let oldest = attested.collect::<Option<Vec<Instant>>>()?.into_iter().min()?;
         Some(now().saturating_duration_since(oldest))
     }
 
     /// Whether another controller has answers from the state service.
     pub fn somebody_has_store(&self) -> bool {
-        self.heard.borrow().values().any(|heard| heard.hello.store_ok && heard.is_recent())
+        self.heard.borrow().values().any(|heard| heard.heartbeat.store_ok && heard.is_recent())
     }
 
     /// Whether others were heard of, and none of them has answers from the state service: it is
@@ -120,7 +122,7 @@
     pub fn nobody_has_store(&self) -> bool {
         let heard = self.heard.borrow();
         let mut others = heard.values().filter(|heard| heard.is_recent()).peekable();
-        others.peek().is_some() && others.all(|heard| !heard.hello.store_ok)
+        others.peek().is_some() && others.all(|heard| !heard.heartbeat.store_ok)
     }
 
     /// Other controllers that say they lead, or that the state service names as planner, and that
@@ -129,7 +131,7 @@
         let cache = node.follower.cache.borrow();
         let planner = cache.planner.as_ref().and_then(|(record, _)| record.node.as_ref());
         let heard = self.heard.borrow();
-        let says_so = |heard: &Heard| heard.hello.leading && heard.is_recent();
+        let says_so = |heard: &LastHeartbeat| heard.heartbeat.leading && heard.is_recent();
         let leading = |name: &String| planner == Some(name) || heard.get(name).is_some_and(says_so);
         self.links.borrow().keys().filter(|name| leading(name)).cloned().collect()
     }
@@ -170,7 +172,7 @@
                 let (node, link) = (node.clone(), links.clone());
                 tokio::task::spawn_local(async move {
                     let _link = link;
-                    hear(node, stream).await;
+                    serve_link(node, stream).await;
                 });
             }
             Ok(stream) => drop(stream),
@@ -180,22 +182,25 @@
 }
 
 /// Takes what another controller says on the link that it opened.
-async fn hear(node: Rc<Node>, stream: Stream) {
+async fn serve_link(node: Rc<Node>, stream: Stream) {
     let (mut reader, writer) = tokio::io::split(stream);
     let (answers, waiting) = mpsc::channel(MAX_WAITING);
     let writing = write_frames(writer, waiting);
     let reading = async {
-        while let Ok(Ok(Some(frame))) = timeout(SILENCE * 2, read_frame(&mut reader)).await {
+        while let Ok(Ok(Some(frame))) =
+            timeout(HEARTBEAT_TIMEOUT * 2, read_frame(&mut reader)).await
+        {
             match frame {
-                Frame::Hello(hello) => {
+                Frame::Heartbeat(heartbeat) => {
                     // Its newest read was begun no longer ago than that.
-                    let echoed = node.peers.echoed(&hello, node.process);
-                    let read =
-                        echoed.filter(|_| hello.store_ok).and_then(|at| at.checked_sub(SILENCE));
+                    let echoed = node.peers.echoed(&heartbeat, node.process);
+                    let read = echoed
+                        .filter(|_| heartbeat.store_ok)
+                        .and_then(|at| at.checked_sub(HEARTBEAT_TIMEOUT));
                     if let Some(read) = read {
-                        node.notices.has_read(&hello.node, read);
+                        node.notifications.has_read(&heartbeat.node, read);
                     }
-                    node.peers.hear(hello, echoed);
+                    node.peers.hear(heartbeat, echoed);
                 }
                 Frame::Report { number, body } => {
                     let (node, answers) = (node.clone(), answers.clone());
@@ -219,16 +224,16 @@
     }
 }
 
-/// Keeps a link to a peer: greets it again and again, and passes reports on.
-pub async fn talk(node: Rc<Node>, peer: String, addr: SocketAddr) {
+/// Keeps a link to a peer: sends heartbeats to it again and again, and passes reports on.
+pub async fn maintain_link(node: Rc<Node>, peer: String, addr: SocketAddr) {
     loop {
-        if let Ok(Ok(stream)) = timeout(INTERVAL * 2, node.network.connect(addr)).await {
+        if let Ok(Ok(stream)) = timeout(HEARTBEAT_INTERVAL * 2, node.network.connect(addr)).await {
             let (mut reader, writer) = tokio::io::split(stream);
             let (frames, waiting) = mpsc::channel(MAX_WAITING);
             node.peers.links.borrow_mut().insert(peer.clone(), frames.clone());
-            let greeting = async {
-                while frames.try_send(Frame::Hello(hello(&node, &peer))).is_ok() {
-                    tokio::time::sleep(INTERVAL).await;
+            let heartbeat = async {
+                while frames.try_send(Frame::Heartbeat(heartbeat(&node, &peer))).is_ok() {
+                    tokio::time::sleep(HEARTBEAT_INTERVAL).await;
                 }
             };
             let reading = async {
@@ -237,26 +242,30 @@
                         Frame::Answer { number, status, body } => {
                             node.peers.answered(number, Response::new(status, body));
                         }
-                        Frame::Acknowledged { jobs } => node.notices.acknowledged(&peer, &jobs),
-                        Frame::Hello(_) | Frame::Report { .. } | Frame::Cancelled { .. } => break,
+                        Frame::Acknowledged { jobs } => {
+                            node.notifications.acknowledged(&peer, &jobs)
+                        }
+                        Frame::Heartbeat(_) | Frame::Report { .. } | Frame::Cancelled { .. } => {
+                            break
+                        }
                     }
                 }
             };
             tokio::select! {
-                () = greeting => {}
-                () = notices::send(&node, &peer, |frame| frames.try_send(frame).is_ok()) => {}
+                () = heartbeat => {}
+                () = notifications::send(&node, &peer, |frame| frames.try_send(frame).is_ok()) => {}
                 () = reading => {}
                 () = write_frames(writer, waiting) => {}
             }
             node.peers.links.borrow_mut().remove(&peer);
         }
-        tokio::time::sleep(INTERVAL).await;
+        tokio::time::sleep(HEARTBEAT_INTERVAL).await;
     }
 }
 
 async fn write_frames(mut writer: WriteHalf<Stream>, mut frames: mpsc::Receiver<Frame>) {
     while let Some(frame) = frames.recv().await {
-        let written = timeout(INTERVAL * 2, writer.write_all(&frame.encode())).await;
+        let written = timeout(HEARTBEAT_INTERVAL * 2, writer.write_all(&frame.encode())).await;
         if !matches!(written, Ok(Ok(()))) {
             return;
         }
@@ -280,28 +289,28 @@
     }
 }
 
-fn hello(node: &Node, to: &str) -> Hello {
+fn heartbeat(node: &Node, to: &str) -> Heartbeat {
     let cache = node.follower.cache.borrow();
     let planner = cache.planner.as_ref().map(|(record, _)| record);
     let (echo, echo_process) = {
         let heard = node.peers.heard.borrow();
-        heard.get(to).map_or((0, 0), |heard| (heard.hello.number, heard.hello.process))
+        heard.get(to).map_or((0, 0), |heard| (heard.heartbeat.number, heard.heartbeat.process))
     };
-    let vouches = node.follower.is_synced()
-        && node.follower.proof_age() > SILENCE
+    let attests = node.follower.is_synced()
+        && node.follower.proof_age() > HEARTBEAT_TIMEOUT
         && !node.leader.is_leading()
         && planner.is_some_and(|planner| planner.node.as_deref() == Some(to))
-        && node.notices.all_acknowledged(to);
-    Hello {
+        && node.notifications.all_acknowledged(to);
+    Heartbeat {
         node: node.name.clone(),
         incarnation: node.presence.current().map(|c| c.incarnation).unwrap_or_default(),
         process: node.process,
         number: node.peers.sends(to),
         echo,
         echo_process,
-        vouches,
+        attests,
         leading: node.leader.is_leading(),
-        store_ok: node.follower.proof_age() < SILENCE,
+        store_ok: node.follower.proof_age() < HEARTBEAT_TIMEOUT,
         planner: planner.and_then(|p| p.node.clone()),
         term: planner.map_or(0, |p| p.term),
     }
--- a/crates/corkfield/src/presence.rs
+++ b/crates/corkfield/src/presence.rs
@@ -41,10 +41,10 @@
 }
 
 /// Takes a lease and renews it for ever; a lost one is replaced under a new incarnation.
-pub async fn keep(node: Rc<Node>) {
+pub async fn maintain_lease(node: Rc<Node>) {
     let ttl = Duration::from_secs_f64(node.settings.operator.lease_s);
     loop {
-        match enter(&node, ttl).await {
+        match take_lease(&node, ttl).await {
             Ok(current) => {
                 tracing::info!(incarnation = %current.incarnation, lease = current.lease, "lease taken");
                 let lease = current.lease;
@@ -62,7 +62,7 @@
     }
 }
 
-async fn enter(node: &Node, ttl: Duration) -> Result<Current, StateError> {
+async fn take_lease(node: &Node, ttl: Duration) -> Result<Current, StateError> {
     let key = controller_key(&node.name);
     // What a former process of this controller left is written over: whoever it was is gone.
     let found = node.state.get(Use::Lease, &key).await?;
--- a/crates/corkfield/src/users.rs
+++ b/crates/corkfield/src/users.rs
@@ -1,7 +1,7 @@
 //! Answers to users. Only what is stored is answered (S1).
 
 use crate::node::{error, json, later, wall_ms, Node};
-use crate::notices;
+use crate::notifications;
 use corkfield_core::fits_some_type;
 use corkfield_http::Response;
 use corkfield_state::{StateError, Use};
@@ -55,7 +55,7 @@
 /// of a cancellation, whoever leads hears of it too, even if the store refuses it.
 async fn learned(node: &Node, id: &JobId, record: &FinalRecord) {
     if record.status == JobStatus::Cancelled {
-        notices::tell(node, id).await;
+        notifications::notify_all(node, id).await;
     }
     node.follower.cache.borrow_mut().note_final(id, record.clone());
 }
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -15,7 +15,7 @@
 const BACK_SOON: Duration = Duration::from_secs(12);
 /// After this a worker whose reports are passed on tries the planner itself again.
 const TRY_AGAIN: Duration = Duration::from_secs(60);
-const MAX_STRAYS: usize = 10_000;
+const MAX_REDIRECTED: usize = 10_000;
 /// A report for whose machine starts wait is kept this long for a proof of fresh state.
 const START_PROOF_WAIT: Duration = Duration::from_millis(600);
 /// Without any proof for this long the service is surely away: then no report waits for it.
@@ -23,32 +23,32 @@
 
 /// Workers that were sent to the planner, and since when those that came back are passed on.
 #[derive(Default)]
-pub struct Strays {
+pub struct RedirectedWorkers {
     visits: RefCell<BTreeMap<String, (Instant, Option<Instant>)>>,
     swept: Cell<Option<Instant>>,
 }
 
-impl Strays {
+impl RedirectedWorkers {
     /// Notes a worker's visit; true if its report should be passed on.
     fn visits(&self, machine: &str) -> bool {
         let at = now();
-        let mut strays = self.visits.borrow_mut();
+        let mut redirected = self.visits.borrow_mut();
         let stale = |seen: &Instant| at.saturating_duration_since(*seen) >= BACK_SOON;
         if self.swept.get().is_none_or(|swept| stale(&swept)) {
             self.swept.set(Some(at));
-            strays.retain(|_, (seen, _)| !stale(seen));
+            redirected.retain(|_, (seen, _)| !stale(seen));
         }
-        let known = strays.get_mut(machine).filter(|(seen, _)| !stale(seen));
+        let known = redirected.get_mut(machine).filter(|(seen, _)| !stale(seen));
         let Some((seen, since)) = known else {
-            if strays.len() < MAX_STRAYS || strays.contains_key(machine) {
-                strays.insert(machine.to_owned(), (at, None));
+            if redirected.len() < MAX_REDIRECTED || redirected.contains_key(machine) {
+                redirected.insert(machine.to_owned(), (at, None));
             }
             return false;
         };
         *seen = at;
         let since = *since.get_or_insert(at);
         if at.saturating_duration_since(since) > TRY_AGAIN {
-            strays.insert(machine.to_owned(), (at, None));
+            redirected.insert(machine.to_owned(), (at, None));
             return false;
         }
         true
@@ -69,12 +69,12 @@
     }
     let planner = planner_elsewhere(node);
     if let Some(planner) = &planner {
-        if node.strays.visits(&report.machine) {
+        if node.redirected.visits(&report.machine) {
             if let Some(response) = node.peers.relay(planner, body).await {
                 return passed_on(node, response);
             }
         }
-        node.leader.knocked(node.follower.planner_known_for());
+        node.leader.worker_came_here(node.follower.planner_known_for());
     }
     tracing::debug!(machine = %report.machine, seq = report.seq, to = ?planner, "worker sent on");
     json(421, &Redirect { report_to: planner })
@@ -126,7 +126,7 @@
         Verdict::Accept => {}
         Verdict::Stale => return later("stale report"),
         Verdict::HigherTerm(term) => {
-            node.leader.outbid(term);
+            node.leader.saw_higher_term(term);
             return later("a higher term is needed");
         }
     }
@@ -165,7 +165,7 @@
 fn may_answer(node: &Node) -> bool {
     let limit = node.settings.answer_limit();
     let fresh = node.follower.proof_age() < limit
-        || node.peers.vouched_age(node).is_some_and(|age| age < limit);
+        || node.peers.attestation_age(node).is_some_and(|age| age < limit);
     fresh && !node.leader.is_replaced(&node.follower.cache.borrow())
 }
 
--- a/crates/corkfield/tests/combined_faults/gap.rs
+++ b/crates/corkfield/tests/combined_faults/gap.rs
@@ -103,7 +103,7 @@
 }
 
 #[test]
-fn in_an_outage_for_all_work_goes_on_as_long_as_all_controllers_vouch() {
+fn in_an_outage_for_all_work_goes_on_as_long_as_all_controllers_attest() {
     // One restarts, is gone, or is cut off from the planner: then none may go on.
     for trouble in [None, Some("restart"), Some("gone"), Some("cut")] {
         scenario(2, |cluster| async move {
@@ -174,7 +174,7 @@
 }
 
 #[test]
-fn who_confirmed_a_cancellation_that_the_planner_did_not_hear_of_does_not_vouch() {
+fn who_confirmed_a_cancellation_that_the_planner_did_not_hear_of_does_not_attest() {
     // Its notice comes late, or is lost with its process; the links are whole again meanwhile.
     for restarts in [false, true] {
         for healed_s in [0.5, 8.0, 20.0] {
@@ -334,7 +334,7 @@
         let answer = say(&cluster, planner, &frame.encode()).await;
         assert_eq!(answer, Some(Frame::Acknowledged { jobs: odd }));
         assert_eq!(cluster.ledger.running(&job.id), 6, "nothing came of it");
-        // A notice of a job that the store has as unfinished: a fault elsewhere. It is run again.
+        // A notification of a job that the store has as unfinished: a fault elsewhere. It is run again.
         let frame = Frame::Cancelled { jobs: vec![job.id.to_string()] };
         for n in 0..NODES.len() {
             assert!(say(&cluster, n, &frame.encode()).await.is_some());
@@ -348,7 +348,7 @@
 
 #[test]
 fn a_cancellation_that_comes_before_the_claims_answer_is_kept() {
-    // Heard of by a notice while the store refuses the planner, or read while it has no peers.
+    // Learnt from a notification while the store refuses the planner, or read while it has no peers.
     for refused in [true, false] {
         scenario(2, |cluster| async move {
             let claims = |request: &corkfield_http::Request| {
--- a/crates/fakes/src/net.rs
+++ b/crates/fakes/src/net.rs
@@ -152,15 +152,15 @@
             let (near_read, near_write) = tokio::io::split(near);
             let (far_read, far_write) = tokio::io::split(far);
             let counted = Counted::new(self.net.clone(), &self.name, &other);
-            let pump = |read, write, counted| {
+            let forward = |read, write, counted| {
                 let (net, a, b) = (self.net.clone(), self.name.clone(), other.clone());
                 let _ = self.net.spawn.send(Box::pin(async move {
-                    pump(net, a, b, read, write).await;
+                    forward(net, a, b, read, write).await;
                     drop(counted);
                 }));
             };
-            pump(near_read, far_write, Some(counted));
-            pump(far_read, near_write, None);
+            forward(near_read, far_write, Some(counted));
+            forward(far_read, near_write, None);
             incoming.send(Box::new(theirs)).map_err(|_| refused())?;
             Ok(Box::new(mine) as Stream)
         })
@@ -202,7 +202,7 @@
     }
 }
 
-async fn pump(
+async fn forward(
     net: Rc<Inner>,
     a: String,
     b: String,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -8,19 +8,19 @@
 
 /// One controller's view, sent once a second or so.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct Hello {
+pub struct Heartbeat {
     pub node: String,
     pub incarnation: String,
     /// Drawn anew by each process.
     pub process: u64,
-    /// Counts the greetings sent to this receiver, and says which of its own was the last to come,
+    /// Counts the heartbeats sent to this receiver, and says which of its own was the last to come,
     /// and of which of its processes.
     pub number: u64,
     pub echo: u64,
     pub echo_process: u64,
     /// The sender has had no answer from the state service for a while, knows of no planner but the
     /// receiver, and every cancellation that it told a user of was acknowledged by the receiver.
-    pub vouches: bool,
+    pub attests: bool,
     /// It plans, or takes itself for the planner.
     pub leading: bool,
     /// The state service answered this controller a moment ago.
@@ -32,7 +32,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Frame {
-    Hello(Hello),
+    Heartbeat(Heartbeat),
     /// A worker's report, passed on to the planner by a controller that the worker can reach.
     Report {
         number: u64,
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -12,7 +12,7 @@
 pub const FOLLOWED: &str = "c/";
 pub const JOBS: &str = "c/jobs/";
 pub const CONTROLLERS: &str = "c/controllers/";
-pub const KNOCKS: &str = "c/knocks/";
+pub const TRANSFER_REQUESTS: &str = "c/transfer_requests/";
 pub const PLANNER: &str = "c/planner";
 pub const TYPES: &str = "c/types";
 pub const FINALS: &str = "f/";
@@ -49,8 +49,8 @@
     format!("{CONTROLLERS}{node}")
 }
 
-pub fn knock_key(node: &str) -> String {
-    format!("{KNOCKS}{node}")
+pub fn transfer_request_key(node: &str) -> String {
+    format!("{TRANSFER_REQUESTS}{node}")
 }
 
 pub fn machine_key(name: &str) -> String {
@@ -178,7 +178,7 @@
 
 /// Workers came to this controller although it sent them to the planner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Knock {
+pub struct TransferRequest {
     pub count: u64,
 }
 
