--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -1,5 +1,6 @@
 //! A machine and everything that may be on it.
 
+use crate::job::Job;
 use crate::team::{Usage, EPSILON};
 use corkfield_wire::cloud::MachineType;
 use corkfield_wire::worker::Order;
@@ -379,6 +380,22 @@
         self.slowness > SLOW && self.slowness_samples >= SLOW_SAMPLES
     }
 
+    /// Takes a task of the job that was chosen for it; no order has left yet.
+    pub(crate) fn assign(&mut self, task: TaskId, attempt: u64, job: &Job, now: Instant) {
+        let spec = job.spec();
+        let assigned = MachineTask {
+            state: MachineTaskState::Assigned,
+            since: now,
+            spec: Some(Need::of(spec)),
+            team: Some(job.team),
+            priority: Some(spec.priority),
+            ours: true,
+            stop: None,
+        };
+        self.held.insert((task, attempt), assigned);
+        self.touch_image(&spec.image, spec.image_gb);
+    }
+
     /// Marks a task to be stopped, and gives the order for it.
     pub(crate) fn stop(&mut self, key: &(TaskId, u64), grace: Duration) -> Option<Order> {
         self.held.get_mut(key)?.stop = Some(grace);
--- a/crates/core/src/placement/capacity.rs
+++ b/crates/core/src/placement/capacity.rs
@@ -1,5 +1,6 @@
 //! Free capacity of machines during one planning pass.
 
+use super::Reach;
 use crate::machine::Need;
 use crate::planner::Planner;
 use corkfield_wire::{JobId, Priority};
@@ -125,6 +126,14 @@
 }
 
 impl MachineCapacity {
+    /// Whether a task that takes so much fits, as far as the job may reach.
+    pub(super) fn has_room_for(&self, need: &Need, reach: Reach) -> bool {
+        match reach {
+            Reach::One => self.free.holds(need),
+            Reach::Guaranteed | Reach::All => self.fits(need),
+        }
+    }
+
     pub(super) fn fits(&self, need: &Need) -> bool {
         let mut left = self.free;
         left.take(&self.reserved);
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -1,17 +1,18 @@
 //! Placement: a machine holding the image, else the roomiest in the job's zone, if any.
 
+mod candidates;
 mod capacity;
 mod preemption;
 mod queue;
 
-use crate::machine::{MachineTask, MachineTaskState, Need};
+use crate::job::Job;
+use crate::machine::{Machine, Need};
 use crate::planner::{Action, Planner};
 use crate::team::{is_limited, within_guarantee, within_limit, Usage};
-use capacity::roomiest;
-use capacity::roomiest_zone;
-use capacity::ClusterCapacity;
-use capacity::MachineCapacity;
+use candidates::Candidates;
+use capacity::{roomiest_zone, ClusterCapacity, MachineCapacity};
 use corkfield_wire::{JobId, TaskId};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::time::Instant;
 
@@ -77,7 +78,7 @@
         &mut self,
         id: &JobId,
         reach: Reach,
-        rooms: &mut ClusterCapacity,
+        capacity: &mut ClusterCapacity,
         usage: &mut [Usage],
         hidden: Option<Usage>,
         now: Instant,
@@ -106,38 +107,8 @@
         if fencing && together && job.record.begun_before > 0 {
             return;
         }
-        let ClusterCapacity { all: rooms, open, least, holding: by_image, .. } = rooms;
-        let spec = &job.record.spec;
-        // Which hold the image is looked up once: a job may place thousands of tasks.
-        let mut others: Vec<usize> = Vec::new();
-        let holds = |room: &MachineCapacity| match reach {
-            Reach::One => room.free.holds(&need),
-            Reach::Guaranteed | Reach::All => room.fits(&need),
-        };
-        let suits = |room: &MachineCapacity| {
-            holds(room)
-                && (spec.spot || !room.spot)
-                && spec.zone.as_ref().is_none_or(|zone| *zone == room.zone)
-                && (spec.types.is_none() || self.machines[&room.name].allows(spec))
-                && !job.failed_on.contains(&room.name)
-        };
-        let looked_at = if reach == Reach::One { rooms.len() } else { open.len() };
-        if reach == Reach::One {
-            others.extend((0..rooms.len()).filter(|n| suits(&rooms[*n])));
-        } else {
-            open.retain(|n| {
-                let room = &rooms[*n];
-                if !room.fits(least) {
-                    return false;
-                }
-                if suits(room) {
-                    others.push(*n);
-                }
-                true
-            });
-        }
-        self.steps.set(self.steps.get() + looked_at as u64);
-        if others.is_empty() {
+        let candidates = suiting(&self.machines, job, reach, capacity, &self.steps);
+        if candidates.is_empty() {
             return;
         }
         // There is room, so its record is to allow first starts. Not before: what a record allows
@@ -147,28 +118,17 @@
             job.unannounced = true;
             return;
         }
-        let (mut slow, mut others): (Vec<usize>, Vec<usize>) =
-            others.into_iter().partition(|n| rooms[*n].slow);
-        if reach != Reach::One {
-            slow.clear();
-        }
-        let mut holding: Vec<usize> = Vec::new();
+        let ClusterCapacity { all: rooms, holding: by_image, .. } = capacity;
+        let spec = &job.record.spec;
         let with_image = by_image.entry(spec.image.clone()).or_default();
-        if !with_image.is_empty() {
-            (holding, others) =
-                others.into_iter().partition(|n| with_image.binary_search(n).is_ok());
-        }
-        let mut zones: BTreeMap<String, u32> = BTreeMap::new();
-        if together {
-            for placed in job.active().values() {
-                if let Some(machine) = self.machines.get(&placed.machine) {
-                    *zones.entry(machine.zone.clone()).or_default() += 1;
-                }
-            }
-        }
+        let mut candidates = Candidates::new(candidates, rooms, with_image, reach);
+        let mut zones = match together {
+            true => zones_in_use(&self.machines, job),
+            false => BTreeMap::new(),
+        };
         let same_zone = job.record.spec.one_zone.then(|| match zones.keys().next() {
             Some(zone) => zone.clone(),
-            None => roomiest_zone(rooms, holding.iter().chain(&others).chain(&slow), &need),
+            None => roomiest_zone(rooms, candidates.all(), &need),
         });
         let cap = job.record.spec.zone_cap();
         let mut recheck = true;
@@ -179,55 +139,29 @@
             if recheck {
                 let fits = |n: &usize| {
                     let room = &rooms[*n];
-                    holds(room)
+                    room.has_room_for(&need, reach)
                         && same_zone.as_ref().is_none_or(|zone| *zone == room.zone)
                         && zones.get(&room.zone).copied().unwrap_or(0) < cap
                 };
-                holding.retain(fits);
-                others.retain(fits);
-                slow.retain(fits);
+                candidates.retain(fits);
             }
-            // A machine holding the image, however few of them there are; else the roomiest.
-            let (list, is_new) = match (holding.is_empty(), others.is_empty()) {
-                (false, _) => (&mut holding, false),
-                (true, false) => (&mut others, true),
-                (true, true) => (&mut slow, false),
-            };
-            let Some(at) = roomiest(rooms, list, self.config.placement_sample, &mut self.rng)
-            else {
+            let chosen = candidates.choose(rooms, self.config.placement_sample, &mut self.rng);
+            let Some((list, at)) = chosen else {
                 return;
             };
             let Some(index) = job.take_waiting(fencing) else {
                 return;
             };
-            let n = list[at];
-            if is_new {
-                others.swap_remove(at);
-                holding.push(n);
-                if let Err(at) = with_image.binary_search(&n) {
-                    with_image.insert(at, n);
-                }
-            }
+            let n = candidates.take(list, at, with_image);
             let room = &mut rooms[n];
             let Some(machine) = self.machines.get_mut(&room.name) else {
                 return;
             };
             let attempt = job.next_attempt();
-            let task = TaskId { job: id.clone(), index };
-            let held = MachineTask {
-                state: MachineTaskState::Assigned,
-                since: now,
-                spec: Some(need),
-                team: Some(job.team),
-                priority: Some(job.record.spec.priority),
-                ours: true,
-                stop: None,
-            };
             if machine.held.is_empty() {
                 self.actions.push(Action::Answer(room.name.clone()));
             }
-            machine.held.insert((task, attempt), held);
-            machine.touch_image(&job.record.spec.image, job.record.spec.image_gb);
+            machine.assign(TaskId { job: id.clone(), index }, attempt, job, now);
             job.place(index, &room.name, attempt);
             *zones.entry(room.zone.clone()).or_default() += 1;
             usage[job.team] = usage[job.team].plus(one);
@@ -243,3 +177,42 @@
         }
     }
 }
+
+/// Machines that the job may use, and that have room for one of its tasks. Those that no waiting
+/// task fits into any more are left out of the pass for good.
+fn suiting(
+    machines: &BTreeMap<String, Machine>,
+    job: &Job,
+    reach: Reach,
+    capacity: &mut ClusterCapacity,
+    steps: &Cell<u64>,
+) -> Vec<usize> {
+    let spec = &job.record.spec;
+    let need = Need::of(spec);
+    let ClusterCapacity { all, open, least, .. } = capacity;
+    let suits = |machine: &MachineCapacity| {
+        machine.has_room_for(&need, reach)
+            && (spec.spot || !machine.spot)
+            && spec.zone.as_ref().is_none_or(|zone| *zone == machine.zone)
+            && (spec.types.is_none() || machines[&machine.name].allows(spec))
+            && !job.failed_on.contains(&machine.name)
+    };
+    if reach == Reach::One {
+        steps.set(steps.get() + all.len() as u64);
+        return (0..all.len()).filter(|n| suits(&all[*n])).collect();
+    }
+    steps.set(steps.get() + open.len() as u64);
+    open.retain(|n| all[*n].fits(least));
+    open.iter().copied().filter(|n| suits(&all[*n])).collect()
+}
+
+/// How many placed tasks of the job each zone holds.
+fn zones_in_use(machines: &BTreeMap<String, Machine>, job: &Job) -> BTreeMap<String, u32> {
+    let mut zones = BTreeMap::new();
+    for placed in job.active().values() {
+        if let Some(machine) = machines.get(&placed.machine) {
+            *zones.entry(machine.zone.clone()).or_default() += 1;
+        }
+    }
+    zones
+}
--- a/crates/corkfield/examples/load.rs
+++ b/crates/corkfield/examples/load.rs
@@ -231,10 +231,8 @@
     SIZES.into_iter().map(kind).collect()
 }
 
-fn main() {
-    let cli = Cli::parse();
-    let mut rng = SmallRng::seed_from_u64(5);
-    let mut workers: Vec<Worker> = (0..cli.machines)
+fn start_workers(cli: &Cli, rng: &mut SmallRng) -> Vec<Worker> {
+    (0..cli.machines)
         .map(|n| Worker {
             name: format!("host-{n:06}"),
             kind: [0, 0, 1, 0, 2, 0, 1, 0][n % 8],
@@ -246,7 +244,23 @@
             earliest: 0.0,
             news: false,
         })
-        .collect();
+        .collect()
+}
+
+/// A record whose tasks may all be started.
+fn claimed(spec: JobSpec) -> JobRecord {
+    JobRecord { generation: 1, begun: u32::MAX, begun_before: 0, ..JobRecord::new(spec, 0) }
+}
+
+/// What is owed of each class at first: ten seconds' worth.
+fn initial_work(cpus: f64, load: f64) -> [f64; 3] {
+    [cpus * load * 10.0 / 3.0; 3]
+}
+
+fn main() {
+    let cli = Cli::parse();
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut workers = start_workers(&cli, &mut rng);
     let cpus: f64 = workers.iter().map(|w| SIZES[w.kind].1).sum();
     let mut planner = Planner::new(config(cpus), 1, 3);
     planner.set_types(types());
@@ -255,7 +269,7 @@
         (Cost::default(), Cost::default(), Cost::default(), Cost::default(), Cost::default());
     let (mut jobs, mut stops, mut starts, mut done) = (0u32, 0u64, 0u64, 0u64);
     let (mut next_pass, mut next_tick, mut next_rent) = (0.0, 0.0, 0.0);
-    let mut owed = [cpus * cli.load * 10.0 / 3.0; 3].map(|work: f64| work);
+    let mut owed = initial_work(cpus, cli.load);
     let mut bytes = 0usize;
     for step in 0..(cli.seconds / STEP_S) as u64 {
         let at = step as f64 * STEP_S;
@@ -267,13 +281,7 @@
                 jobs += 1;
                 let Some(spec) = spec(jobs, class, &mut rng) else { return };
                 *owed -= f64::from(spec.tasks) * cpus_each * run_s;
-                let record = JobRecord {
-                    generation: 1,
-                    begun: u32::MAX,
-                    begun_before: 0,
-                    ..JobRecord::new(spec, 0)
-                };
-                planner.claimed(record, TaskSet::default(), 1, Duration::ZERO, now);
+                planner.claimed(claimed(spec), TaskSet::default(), 1, Duration::ZERO, now);
             }
         }
         let mut waiting = Vec::new();
