--- a/crates/cloud/src/lib.rs
+++ b/crates/cloud/src/lib.rs
@@ -1,5 +1,6 @@
 //! The cloud's client, within a request budget.
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use corkfield_http::{Client, ClientError, Network, Reply};
 use corkfield_state::{Budget, Use};
@@ -17,8 +18,10 @@
 const CONNECTIONS: usize = 8;
 const TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Why a request to the cloud did not succeed.
 #[derive(Debug, thiserror::Error)]
 pub enum CloudError {
+    /// No machine of that type, zone and kind is to be had.
     #[error("no capacity")]
     NoCapacity,
     /// The request was surely not executed.
@@ -27,16 +30,19 @@
     /// The request may have been executed, or may be executed later on.
     #[error("no answer: {0}")]
     NoAnswer(#[from] ClientError),
+    /// The answer can't be read.
     #[error("nonsense from the cloud: {0}")]
     Nonsense(String),
 }
 
+/// Speaks to the cloud, within its limit.
 pub struct CloudClient {
     http: Client,
     budget: Budget,
 }
 
 impl CloudClient {
+    /// A client for the cloud at `addr`, which takes so many requests a second.
     pub fn new(network: Rc<dyn Network>, addr: SocketAddr, rps: f64) -> Self {
         // Two planners may overlap for a moment at a take-over, hence not the whole rate, nor
         // the whole of the two seconds' worth that may come at once.
@@ -60,6 +66,7 @@
         read(&reply)
     }
 
+    /// Reads the machine types and their present prices.
     pub async fn types(&self) -> Result<Vec<MachineType>, CloudError> {
         let read: MachineTypes = self.call(Use::Claim, "GET", PATH_TYPES, &()).await?;
         Ok(read.types)
@@ -80,11 +87,13 @@
         }
     }
 
+    /// Rents machines, and gives their names.
     pub async fn rent(&self, request: &RentRequest) -> Result<Vec<String>, CloudError> {
         let names: MachineNames = self.call(Use::Lease, "POST", PATH_MACHINES, request).await?;
         Ok(names.machines)
     }
 
+    /// Returns machines; once this is answered they are gone.
     pub async fn delete(&self, machines: Vec<String>) -> Result<(), CloudError> {
         let body = MachineNames { machines };
         let _: serde::de::IgnoredAny = self.call(Use::Settling, "POST", PATH_DELETE, &body).await?;
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -3,12 +3,16 @@
 use corkfield_wire::settings::{Objective, Team};
 use std::time::Duration;
 
+/// What the scheduler has to know of its deployment.
 #[derive(Debug, Clone)]
 pub struct Config {
+    /// Teams, with their guarantees and limits.
     pub teams: Vec<Team>,
+    /// What is expected of each class of jobs.
     pub objectives: Vec<Objective>,
     /// A worker's lease.
     pub worker_lease: Duration,
+    /// Time between two reports of a worker.
     pub report_interval: Duration,
     /// A controller without fresh state answers reports no longer than this (S6).
     pub answer_limit: Duration,
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -11,6 +11,7 @@
 /// Between two writes of a job for which nobody waits.
 const PROGRESS_PAUSE: Duration = Duration::from_millis(700);
 
+/// What a claimed job is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobState {
     /// Its tasks may be started.
@@ -28,12 +29,16 @@
 /// Where a task is, and under which attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Placed {
+    /// Its machine.
     pub machine: String,
+    /// The attempt under which it was started.
     pub attempt: u64,
 }
 
+/// A claimed job.
 #[derive(Debug)]
 pub struct Job {
+    /// Its record, as stored last.
     pub record: JobRecord,
     /// Version of the record in the state service that this claim rests on.
     pub version: u64,
@@ -112,10 +117,12 @@
         }
     }
 
+    /// What its user submitted.
     pub fn spec(&self) -> &JobSpec {
         &self.record.spec
     }
 
+    /// Its state.
     pub fn state(&self) -> JobState {
         self.state
     }
@@ -129,6 +136,7 @@
         self.state = state;
     }
 
+    /// Whether it is neither over nor another's.
     pub fn is_live(&self) -> bool {
         self.state != JobState::Closing
     }
@@ -137,18 +145,22 @@
         self.state == JobState::Active
     }
 
+    /// Tasks reported as done, stored or not.
     pub fn finished(&self) -> &TaskSet {
         &self.finished
     }
 
+    /// Whether the state service holds that the task is done.
     pub fn is_stored(&self, index: u32) -> bool {
         self.finished.contains(index) && !self.unstored.contains(&index)
     }
 
+    /// Its placed tasks.
     pub fn active(&self) -> &BTreeMap<u32, Placed> {
         &self.active
     }
 
+    /// How many of its tasks have no place and are not done.
     pub fn waiting(&self) -> u32 {
         let active = u32::try_from(self.active.len()).unwrap_or(u32::MAX);
         self.spec().tasks.saturating_sub(self.finished.len() + active)
@@ -172,6 +184,7 @@
         self.active.is_empty() && self.finished.is_empty()
     }
 
+    /// How many of its tasks are not done.
     pub fn remaining(&self) -> u32 {
         self.spec().tasks.saturating_sub(self.finished.len())
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Scheduling, without I/O: jobs, tasks, machines, teams, placement and renting as state
 //! machines. Time is passed in; what should happen outside comes out as [`Action`]s.
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 mod config;
 mod job;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -14,6 +14,7 @@
 const SLOW: f64 = 1.6;
 const SLOW_SAMPLES: u32 = 4;
 
+/// What a machine is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MachineState {
     /// Rented; its worker hasn't reported.
@@ -29,14 +30,18 @@
 /// Whether the state service knows that the machine may hold tasks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Recorded {
+    /// It was never recorded.
     No,
+    /// The write is under way.
     Writing,
+    /// It is stored.
     Yes,
 }
 
 /// Whether what is ordered reaches the worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reachability {
+    /// Orders reach it, as far as is known.
     Reachable,
     /// Starts were not taken, this many reports in a row.
     Doubtful(u32),
@@ -47,17 +52,23 @@
 /// So many reports in a row without the starts that were sent before them.
 const UNREACHABLE_AFTER: u32 = 2;
 
+/// What a task on a machine is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MachineTaskState {
     /// Chosen, but no order has left yet.
     Assigned,
     /// The start was sent as the answer to the report with this session and number.
     Ordered {
+        /// Session of the report that was answered.
         session: u64,
+        /// Number of that report.
         seq: u64,
     },
+    /// Its image is being fetched.
     Fetching,
+    /// It runs.
     Running,
+    /// It saves, as it was told to stop.
     Saving,
     /// Exited as done; kept on the machine until the result is stored.
     Done,
@@ -68,10 +79,13 @@
 /// A task that is, or may be, on a machine.
 #[derive(Debug, Clone)]
 pub struct MachineTask {
+    /// What it is doing.
     pub state: MachineTaskState,
+    /// Since when.
     pub since: Instant,
     /// What it takes; unknown for tasks of jobs that are not known any more.
     pub spec: Option<Need>,
+    /// Position of its team in the settings.
     pub team: Option<usize>,
     pub(crate) priority: Option<Priority>,
     /// Started by this planner, so that its run time is known.
@@ -214,19 +228,28 @@
         && spec.zone.as_ref().is_none_or(|only| only == zone)
 }
 
+/// A machine, and what this planner knows of it.
 #[derive(Debug)]
 pub struct Machine {
+    /// Its name in the cloud.
     pub name: String,
+    /// Where its worker takes direct orders.
     pub addr: String,
+    /// Name of its type.
     pub type_name: String,
+    /// Its zone.
     pub zone: String,
+    /// Whether it is a spot machine.
     pub spot: bool,
     pub(crate) size: Option<MachineType>,
     state: MachineState,
+    /// Whether the state service knows that it may hold tasks.
     pub recorded: Recorded,
     /// No order of an earlier planner can act on it any more (S7).
     pub fresh: bool,
+    /// Its worker's session, as shown last.
     pub session: u64,
+    /// Number of the worker's newest message in that session.
     pub seq: u64,
     /// Sessions up to this one are known to have ended.
     pub(crate) ended_sessions: u64,
@@ -248,6 +271,7 @@
     pub(crate) lapsed: bool,
     pub(crate) notice: bool,
     pub(crate) idle_since: Option<Instant>,
+    /// The tasks that are, or may be, on it.
     pub held: MachineTasks,
     /// Images that it probably has, the most recently used last.
     pub(crate) images: Vec<(String, f64)>,
@@ -306,6 +330,7 @@
         }
     }
 
+    /// What it is used for.
     pub fn state(&self) -> MachineState {
         self.state
     }
@@ -319,6 +344,7 @@
         self.state = state;
     }
 
+    /// Whether orders reach its worker.
     pub fn reachability(&self) -> Reachability {
         self.reachability
     }
--- a/crates/core/src/planner/machines.rs
+++ b/crates/core/src/planner/machines.rs
@@ -12,6 +12,7 @@
 const DELETE_RETRY: Duration = Duration::from_secs(3);
 
 impl Planner {
+    /// Takes over the cloud's machine types, also for machines known already.
     pub fn set_types(&mut self, types: Vec<MachineType>) {
         for machine in self.machines.values_mut() {
             machine.size = types.iter().find(|t| t.name == machine.type_name).cloned();
--- a/crates/core/src/planner/mod.rs
+++ b/crates/core/src/planner/mod.rs
@@ -37,22 +37,29 @@
     Answer(String),
     /// Orders that are safe at any time (stops), straight to the machine.
     Direct {
+        /// The machine's name.
         machine: String,
+        /// Where its worker takes direct orders.
         addr: String,
+        /// The session that the orders are for.
         session: u64,
+        /// What to do, in order.
         orders: Vec<Order>,
     },
     /// The state service has to know the machine before anything starts on it.
     Record(String, MachineRecord),
     /// The machine is surely gone, and its record with it.
     Erase(String),
+    /// Machines should be rented.
     Rent(RentRequest),
+    /// Machines should be returned.
     Delete(Vec<String>),
 }
 
 /// What to do with a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
+    /// It was taken.
     Accept,
     /// Older than what is known, or of a machine that is gone: no answer with 200.
     Stale,
@@ -63,26 +70,40 @@
 /// A write that settles finished tasks.
 #[derive(Debug, Clone)]
 pub struct Settlement {
+    /// Whose tasks.
     pub job: JobId,
+    /// Version of the record that the write rests on.
     pub version: u64,
+    /// The record to be stored.
     pub record: JobRecord,
     /// Finished numbers by chunk, for jobs too large to keep them in the record.
     pub chunks: Vec<(u32, TaskSet)>,
+    /// Numbers of the tasks that this stores as done.
     pub tasks: Vec<u32>,
+    /// Whether the job is done with it.
     pub finishes: bool,
 }
 
 /// Figures for operators.
 #[derive(Debug, Clone, Default)]
 pub struct Overview {
+    /// Claimed jobs.
     pub jobs: usize,
+    /// Tasks that have no place.
     pub waiting_tasks: u64,
+    /// Tasks that run.
     pub running_tasks: u64,
+    /// The job with waiting tasks that was accepted first, and how long ago.
     pub oldest_waiting: Option<(JobId, Duration)>,
+    /// Jobs set aside at the claim limit.
     pub set_aside: Vec<JobId>,
+    /// The highest count of claims of a job.
     pub most_claims: u32,
+    /// Machines that take work.
     pub machines_up: usize,
+    /// Machines whose workers have not reported yet.
     pub machines_booting: usize,
+    /// Machines not accounted for since the take-over.
     pub unfenced: usize,
     /// Planning passes since the planner took over.
     pub passes: u64,
@@ -90,6 +111,7 @@
     pub steps: u64,
 }
 
+/// The scheduler of one planner: all claimed jobs, all machines, and the decisions.
 pub struct Planner {
     pub(crate) config: Config,
     term: u64,
@@ -122,6 +144,7 @@
 }
 
 impl Planner {
+    /// A planner without jobs and machines, under a term that nobody else ever holds.
     pub fn new(config: Config, term: u64, seed: u64) -> Self {
         Self {
             config,
@@ -148,6 +171,7 @@
         }
     }
 
+    /// The term under which its orders travel.
     pub fn term(&self) -> u64 {
         self.term
     }
@@ -157,18 +181,22 @@
         self.term = self.term.max(term);
     }
 
+    /// What is to be done outside since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
     }
 
+    /// A claimed job.
     pub fn job(&self, id: &JobId) -> Option<&Job> {
         self.jobs.get(id)
     }
 
+    /// A known machine.
     pub fn machine(&self, name: &str) -> Option<&Machine> {
         self.machines.get(name)
     }
 
+    /// How many machines are known.
     pub fn machine_count(&self) -> usize {
         self.machines.len()
     }
@@ -279,6 +307,7 @@
         usage
     }
 
+    /// Figures for operators.
     pub fn overview(&self, now: Instant) -> Overview {
         let mut view = Overview { jobs: self.jobs.len(), ..Overview::default() };
         view.unfenced = self.unfenced.len();
--- a/crates/core/src/planner/settlement.rs
+++ b/crates/core/src/planner/settlement.rs
@@ -71,6 +71,7 @@
         }
     }
 
+    /// A settling write was carried out, at that version.
     pub fn settled(&mut self, settlement: &Settlement, version: u64) {
         let Some(job) = self.jobs.get_mut(&settlement.job) else {
             return;
--- a/crates/core/src/team.rs
+++ b/crates/core/src/team.rs
@@ -47,10 +47,13 @@
 /// Why a job can never run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Misfit {
+    /// There is no such team.
     #[error("unknown team")]
     Team,
+    /// The job needs more than its team's limit.
     #[error("a task needs more than the team's limit")]
     Limit,
+    /// A task fits no allowed machine type.
     #[error("a task fits no allowed machine type")]
     Machine,
 }
--- a/crates/corkfield/tests/combined_faults/mod.rs
+++ b/crates/corkfield/tests/combined_faults/mod.rs
@@ -1,4 +1,4 @@
-//! Two troubles at once. `docs/meetings.md` lists the combinations and their scenarios.
+//! Two troubles at once. `docs/fault-combinations.md` lists the combinations and their scenarios.
 
 mod cancellations;
 mod close_questions;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -12,24 +12,33 @@
 /// Kept connections that nobody used for this long are not tried again.
 const KEEP: Duration = Duration::from_secs(30);
 
+/// A whole answer.
 #[derive(Debug, Clone)]
 pub struct Reply {
+    /// Its HTTP status.
     pub status: u16,
+    /// Its body.
     pub body: Vec<u8>,
 }
 
+/// Why a request has no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
+    /// No whole answer came in time.
     #[error("no answer in time")]
     Timeout,
+    /// Too many connections are open already.
     #[error("too many requests under way")]
     Busy,
+    /// The answer is malformed, or the connection ended within it.
     #[error(transparent)]
     Read(#[from] ReadError),
+    /// The connection failed.
     #[error("connect or write: {0}")]
     Io(#[from] std::io::Error),
 }
 
+/// Keeps connections to one server open and sends requests over them.
 pub struct Client {
     network: Rc<dyn Network>,
     addr: SocketAddr,
@@ -48,6 +57,7 @@
 }
 
 impl Client {
+    /// A client of the server at `addr` with at most so many connections, for answers up to a size.
     pub fn new(
         network: Rc<dyn Network>,
         addr: SocketAddr,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,5 +1,6 @@
 //! A small HTTP/1.1 server and client: bounded sizes, bounded times, no pipelining.
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod client;
 mod message;
--- a/crates/http/src/net.rs
+++ b/crates/http/src/net.rs
@@ -7,19 +7,26 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 
+/// A future that stays on its thread.
 pub type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
 /// A connection.
 pub trait Io: AsyncRead + AsyncWrite + Unpin {}
 impl<T: AsyncRead + AsyncWrite + Unpin> Io for T {}
+/// A connection.
 pub type Stream = Box<dyn Io>;
 
+/// Accepts connections at an address.
 pub trait Listener {
+    /// Waits for the next connection.
     fn accept(&self) -> LocalFuture<'_, Result<Stream>>;
 }
 
+/// Opens and accepts connections; a real network or one in memory.
 pub trait Network {
+    /// Opens a connection.
     fn connect(&self, addr: SocketAddr) -> LocalFuture<'_, Result<Stream>>;
+    /// Begins to accept connections.
     fn listen(&self, addr: SocketAddr) -> LocalFuture<'_, Result<Box<dyn Listener>>>;
 }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -9,13 +9,16 @@
 use tokio::io::AsyncWriteExt;
 use tokio::time::timeout;
 
+/// What a server takes at most.
 #[derive(Debug, Clone)]
 pub struct Limits {
+    /// Connections open at once.
     pub connections: usize,
     /// So many of them may be of clients that ask for other paths than [`Self::kept_for`].
     pub others: usize,
     /// The path for whose clients the rest is kept.
     pub kept_for: &'static str,
+    /// Bytes of a request's body.
     pub body: usize,
     /// A connection on which nothing was asked yet is closed after this time.
     pub first: Duration,
@@ -45,29 +48,37 @@
     }
 }
 
+/// A whole request.
 #[derive(Debug, Clone)]
 pub struct Request {
+    /// Its method, in capitals.
     pub method: String,
     /// Path and query as they came.
     pub target: String,
+    /// Its body.
     pub body: Vec<u8>,
 }
 
 impl Request {
+    /// The target without its query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or("")
     }
 }
 
+/// An answer.
 #[derive(Debug, Clone)]
 pub struct Response {
+    /// Its HTTP status.
     pub status: u16,
+    /// Its body, JSON.
     pub body: Vec<u8>,
     /// Seconds after which the client should come back.
     pub retry_after: Option<u64>,
 }
 
 impl Response {
+    /// An answer without `Retry-After`.
     pub fn new(status: u16, body: Vec<u8>) -> Self {
         Self { status, body, retry_after: None }
     }
@@ -251,70 +262,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::net::{Network, Tcp};
-    use tokio::io::AsyncReadExt;
-    use tokio::net::TcpListener;
-
-    async fn exchange(bytes: &[u8]) -> String {
-        exchange_with(Limits::default(), bytes).await
-    }
-
-    async fn exchange_with(limits: Limits, bytes: &[u8]) -> String {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let addr = listener.local_addr().unwrap();
-        let listener: Box<dyn Listener> = Box::new(listener);
-        let handler = |r: Request| async move {
-            Response::new(200, format!("{} {} {}", r.method, r.path(), r.body.len()).into_bytes())
-        };
-        tokio::task::spawn_local(serve(listener, limits, Rc::new(handler)));
-        let mut stream = Tcp.connect(addr).await.unwrap();
-        stream.write_all(bytes).await.unwrap();
-        stream.shutdown().await.unwrap();
-        let mut answer = String::new();
-        let _ = stream.read_to_string(&mut answer).await;
-        answer
-    }
-
-    fn run<T>(future: impl Future<Output = T>) -> T {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, future)
-    }
-
-    #[test]
-    fn requests_are_answered_in_turn_and_chunks_are_joined() {
-        run(async {
-            let two = b"GET /a?x=1 HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
-            let answer = exchange(two).await;
-            assert!(answer.contains("GET /a 0") && answer.contains("POST /b 3"), "{answer}");
-        });
-    }
-
-    #[test]
-    fn bad_and_oversized_requests_get_400_and_a_closed_connection() {
-        run(async {
-            let long = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "y".repeat(20_000));
-            let big = b"POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n".to_vec();
-            let twice =
-                b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab".to_vec();
-            for bytes in [b"\x00\x01\x02\r\n\r\n".to_vec(), long.into_bytes(), big, twice] {
-                let answer = exchange(&bytes).await;
-                assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 400"), "{answer}");
-            }
-            assert_eq!(exchange(b"GET / HT").await, "", "half a request is never answered");
-        });
-    }
-
-    #[test]
-    fn connections_beyond_the_others_share_are_refused_and_those_kept_are_not() {
-        run(async {
-            let limits = Limits { others: 0, kept_for: "/kept", ..Limits::default() };
-            let kept = b"GET /kept HTTP/1.1\r\nConnection: close\r\n\r\n";
-            assert!(exchange_with(limits.clone(), kept).await.starts_with("HTTP/1.1 200"));
-            let other = exchange_with(limits, b"GET /other HTTP/1.1\r\n\r\n").await;
-            assert!(other.starts_with("HTTP/1.1 503"), "{other}");
-            assert!(other.contains("Retry-After: 1") && other.contains("Connection: close"));
-        });
-    }
-}
+mod tests;
--- a/crates/state/src/budget.rs
+++ b/crates/state/src/budget.rs
@@ -8,11 +8,17 @@
 /// burst it has to leave for the others: renewals never wait behind housekeeping.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Use {
+    /// Renewing and taking leases.
     Lease,
+    /// Claims, and reads that other work waits for.
     Claim,
+    /// Users' submissions.
     Submission,
+    /// Settling writes and machine records.
     Settling,
+    /// Reads for users' questions.
     Reading,
+    /// What may wait.
     Housekeeping,
 }
 
@@ -37,6 +43,7 @@
     at: Instant,
 }
 
+/// A token bucket whose tokens go to the most important use first.
 #[derive(Debug)]
 pub struct Budget(RefCell<Bucket>);
 
@@ -47,6 +54,7 @@
         Self(RefCell::new(Bucket { rate, burst, tokens: burst, at: Instant::now() }))
     }
 
+    /// Changes the rate, in tokens a second, and the most that may be saved up.
     pub fn set_rate(&self, rate: f64, burst: f64) {
         self.try_take(Use::Lease, 0.0);
         let mut bucket = self.0.borrow_mut();
@@ -75,6 +83,7 @@
         Some(Duration::from_secs_f64(missing.clamp(0.002, 10.0)))
     }
 
+    /// Waits until the cost may be spent.
     pub async fn take(&self, for_use: Use, cost: f64) {
         while let Some(wait) = self.try_take(for_use, cost) {
             tokio::time::sleep(wait).await;
@@ -83,32 +92,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[tokio::test(start_paused = true)]
-    async fn housekeeping_leaves_room_for_renewals() {
-        let budget = Budget::new(10.0, 10.0);
-        let mut taken = 0;
-        while budget.try_take(Use::Housekeeping, 1.0).is_none() {
-            taken += 1;
-        }
-        assert_eq!(taken, 5);
-        assert!(budget.try_take(Use::Lease, 1.0).is_none());
-        let start = Instant::now();
-        budget.take(Use::Settling, 2.0).await;
-        assert!(start.elapsed() > Duration::from_millis(50));
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn many_submissions_at_once_find_the_burst_that_nobody_used() {
-        let budget = Budget::new(12.0, 12.0 * 5.0);
-        let start = Instant::now();
-        for _ in 0..50 {
-            budget.take(Use::Submission, 1.0).await;
-        }
-        assert!(start.elapsed() < Duration::from_millis(10));
-        budget.take(Use::Submission, 10.0).await;
-        assert!(start.elapsed() > Duration::from_millis(100), "but no more than that");
-    }
-}
+mod tests;
--- a/crates/state/src/client.rs
+++ b/crates/state/src/client.rs
@@ -16,12 +16,16 @@
 const CONNECTIONS: usize = 96;
 const PAGE: u32 = 1000;
 
+/// Why a request to the state service did not succeed.
 #[derive(Debug, thiserror::Error)]
 pub enum StateError {
+    /// These keys have other versions than the transaction requires.
     #[error("conditions failed: {0:?}")]
     Conflict(Vec<String>),
+    /// The lease has ended.
     #[error("no such lease")]
     NoSuchLease,
+    /// The changes after that revision are no longer kept.
     #[error("revision is too old to watch from")]
     TooOld,
     /// The request was surely not executed.
@@ -30,6 +34,7 @@
     /// The request may have been executed, or may be executed later on.
     #[error("no answer: {0}")]
     NoAnswer(#[from] ClientError),
+    /// The answer can't be read.
     #[error("nonsense from the state service: {0}")]
     Nonsense(String),
 }
@@ -37,12 +42,15 @@
 /// The parts of the service's limits that this controller may use.
 #[derive(Debug, Clone, Copy)]
 pub struct Share {
+    /// Part of the requests a second.
     pub requests: f64,
+    /// Part of the changes a second.
     pub writes: f64,
     /// Seconds' worth of changes that may come at once.
     pub burst_s: f64,
 }
 
+/// Speaks to the state service, within a share of its limits.
 pub struct StateClient {
     http: Client,
     requests: Budget,
@@ -67,6 +75,7 @@
         client
     }
 
+    /// Sets this controller's share of the limits.
     pub fn set_share(&self, share: Share) {
         let (requests, writes) = (self.rps * share.requests, self.write_rps * share.writes);
         self.requests.set_rate(requests, requests);
@@ -89,6 +98,7 @@
         }
     }
 
+    /// Reads one key; `None` if it doesn't exist.
     pub async fn get(&self, for_use: Use, key: &str) -> Result<Option<Item>, StateError> {
         let target = format!("{PATH_KEYS}/{key}");
         let reply = self.send(for_use, "GET", &target, b"", self.timeout).await?;
@@ -117,6 +127,7 @@
         }
     }
 
+    /// Carries out a conditional transaction, and gives its revision.
     pub async fn txn(&self, for_use: Use, txn: &Txn) -> Result<u64, StateError> {
         let writes = txn.changes.len() as f64;
         if writes > 0.0 {
@@ -131,6 +142,7 @@
         }
     }
 
+    /// Takes a lease.
     pub async fn grant(&self, ttl: Duration) -> Result<u64, StateError> {
         let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
         let body = serde_json::to_vec(&GrantRequest { ttl_ms }).unwrap_or_default();
@@ -138,6 +150,7 @@
         read::<Grant>(&reply).map(|g| g.lease)
     }
 
+    /// Renews a lease; waits for the answer for at most `limit`.
     pub async fn renew(&self, lease: u64, limit: Duration) -> Result<(), StateError> {
         let target = format!("{PATH_LEASES}/{lease}/{PATH_RENEW}");
         let reply = self.send(Use::Lease, "POST", &target, b"", limit).await?;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,5 +1,6 @@
 //! The state service's client: leases, transactions, watches, all within a request budget.
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 mod budget;
 mod client;
