Renting drains machines by Planner::drain; a pointless condition in a test is gone

drain was called by a test alone, while two places in renting wrote the same. No change of behaviour; the scenario's assertion asks the same, as its first half was always true. Scenarios and core tests pass.

--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -143,9 +143,7 @@
             return;
         }
         for name in dear {
-            if let Some(machine) = self.machines.get_mut(&name) {
-                machine.enter(MachineState::Draining);
-            }
+            self.drain(&name);
             self.note(&name, "returning a dear machine");
         }
     }
@@ -393,10 +391,8 @@
                 continue;
             }
             spare -= cpus;
-            if let Some(machine) = self.machines.get_mut(&name) {
-                tracing::debug!(machine = %name, "returning idle machine");
-                machine.enter(MachineState::Draining);
-            }
+            tracing::debug!(machine = %name, "returning idle machine");
+            self.drain(&name);
         }
     }
 }
--- a/crates/corkfield/tests/combined_faults/many_small_jobs.rs
+++ b/crates/corkfield/tests/combined_faults/many_small_jobs.rs
@@ -1,6 +1,6 @@
 //! One-task jobs in quick succession, and machines that are up at once.
 
-use crate::cluster::{scenario, secs, spec, Cluster, NODES};
+use crate::cluster::{scenario, secs, spec, Cluster};
 use corkfield_fakes::{Fault, Plan};
 use corkfield_wire::records::{machine_key, JOBS};
 use corkfield_wire::store::{Txn, PATH_TXN};
@@ -111,7 +111,7 @@
             cluster.store.clear_faults();
             cluster.until_done(&job.id, 120.0).await;
             assert_recorded(&cluster);
-            assert!(NODES.len() > 1 && restarted, "the planner ended in between");
+            assert!(restarted, "the planner ended in between");
         });
     }
 }
