--- a/crates/corkfield/tests/cluster/mod.rs
+++ b/crates/corkfield/tests/cluster/mod.rs
@@ -182,7 +182,7 @@
             zones: vec!["z1".to_owned(), "z2".to_owned()],
         };
         let capacity = machines as usize;
-        let cloud = FakeCloud::new(net.clone(), ledger.clone(), template, vec![kind], capacity);
+        let cloud = FakeCloud::new(Rc::new(net.clone()), ledger.clone(), template, vec![kind], capacity);
         cloud.start(net.host("cloud"), SocketAddr::from(([10, 2, 1, 1], 443)));
         for n in 0..machines {
             cloud.add(if n % 2 == 0 { "z1" } else { "z2" }, false, 0.5);
--- a/crates/fakes/src/cloud.rs
+++ b/crates/fakes/src/cloud.rs
@@ -1,7 +1,7 @@
 //! The cloud.
 
 use crate::ledger::Ledger;
-use crate::net::MemoryNet;
+use crate::net::Hosts;
 use crate::worker::{FakeWorker, WorkerSettings};
 use crate::{json, now, param, sleep};
 use corkfield_http::{serve, Limits, Network, Request, Response};
@@ -24,7 +24,7 @@
 }
 
 pub struct FakeCloud {
-    net: MemoryNet,
+    hosts: Rc<dyn Hosts>,
     ledger: Rc<Ledger>,
     template: WorkerSettings,
     pub types: Vec<MachineType>,
@@ -42,8 +42,9 @@
 }
 
 impl FakeCloud {
+    /// Machines get addresses of the network (the first number) that the template's address is of.
     pub fn new(
-        net: MemoryNet,
+        hosts: Rc<dyn Hosts>,
         ledger: Rc<Ledger>,
         template: WorkerSettings,
         types: Vec<MachineType>,
@@ -51,7 +52,7 @@
     ) -> Rc<Self> {
         let boot_s = Cell::new(types[0].boot_s);
         Rc::new(Self {
-            net,
+            hosts,
             ledger,
             template,
             types,
@@ -90,7 +91,11 @@
             worker: None,
         };
         self.machines.borrow_mut().insert(name.clone(), rented);
-        let addr = SocketAddr::from(([10, 9, (n / 250) as u8, (n % 250) as u8 + 1], 9000));
+        let network = match self.template.addr {
+            SocketAddr::V4(addr) => addr.ip().octets()[0],
+            SocketAddr::V6(_) => 10,
+        };
+        let addr = SocketAddr::from(([network, 9, (n / 250) as u8, (n % 250) as u8 + 1], 9000));
         let settings = WorkerSettings {
             name: name.clone(),
             addr,
@@ -101,13 +106,13 @@
             ..self.template.clone()
         };
         let (cloud, booted) = (self.clone(), name.clone());
-        self.net.spawn(async move {
+        self.hosts.spawn(Box::pin(async move {
             sleep(boot_s).await;
             if let Some(rented) = cloud.machines.borrow_mut().get_mut(&booted) {
-                let host = cloud.net.host(&booted);
+                let host = cloud.hosts.host(&booted);
                 rented.worker = Some(FakeWorker::start(settings, host, cloud.ledger.clone()));
             }
-        });
+        }));
         name
     }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use cloud::FakeCloud;
 pub use ledger::{Ledger, Plan};
-pub use net::{Host, MemoryNet};
+pub use net::{Host, Hosts, Loopback, MemoryNet};
 pub use process::{Freezer, Process};
 pub use store::{FakeStore, Fault};
 pub use worker::{FakeWorker, WorkerSettings};
--- a/crates/fakes/src/net.rs
+++ b/crates/fakes/src/net.rs
@@ -1,19 +1,17 @@
 //! A network in memory: hosts, cuts that hold messages back, hosts that die.
 
 use corkfield_http::net::LocalFuture;
-use corkfield_http::{Listener, Network, Stream};
+use corkfield_http::{Listener, Network, Stream, Tcp};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::future::Future;
 use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf};
 use tokio::sync::{mpsc, Mutex, Notify};
 
-type Task = Pin<Box<dyn Future<Output = ()>>>;
+type Task = LocalFuture<'static, ()>;
 type Incoming = mpsc::UnboundedSender<Stream>;
 
 struct Inner {
@@ -71,6 +69,38 @@
     }
 }
 
+/// Networks of hosts that come up while a deployment is played.
+pub trait Hosts {
+    /// The network as a host of this name sees it.
+    fn host(&self, name: &str) -> Rc<dyn Network>;
+    /// Runs something that outlives the task that started it.
+    fn spawn(&self, task: LocalFuture<'static, ()>);
+}
+
+/// The system's own network: each host listens on a loopback address of its own, in real time.
+#[derive(Clone, Copy, Default)]
+pub struct Loopback;
+
+impl Hosts for Loopback {
+    fn host(&self, _name: &str) -> Rc<dyn Network> {
+        Rc::new(Tcp)
+    }
+
+    fn spawn(&self, task: LocalFuture<'static, ()>) {
+        tokio::task::spawn_local(task);
+    }
+}
+
+impl Hosts for MemoryNet {
+    fn host(&self, name: &str) -> Rc<dyn Network> {
+        Self::host(self, name)
+    }
+
+    fn spawn(&self, task: LocalFuture<'static, ()>) {
+        let _ = self.0.spawn.send(task);
+    }
+}
+
 #[derive(Clone)]
 pub struct MemoryNet(Rc<Inner>);
 
@@ -129,11 +159,6 @@
     pub fn open_now(&self, host: &str) -> usize {
         self.0.open.borrow().get(host).map_or(0, |(now_open, _)| *now_open)
     }
-
-    /// Runs something that outlives the task that started it.
-    pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
-        let _ = self.0.spawn.send(Box::pin(task));
-    }
 }
 
 /// One host's view of the network.
