Idle timers aligned, standbys watch every half second, peer frames read in one call

A standby woke 25 times a second: timers of its own for each loop, a watch every 150 ms, two reads and an EAGAIN for each heartbeat. They watch closely until types and a planner are known. The stand-in worker can report at the protocol's own rate, for measures of load.

--- a/crates/corkfield/examples/loopback.rs
+++ b/crates/corkfield/examples/loopback.rs
@@ -159,6 +159,7 @@
         cpus: 0.0,
         report: Duration::from_secs(5),
         lease: Duration::from_secs(26),
+        reports_after_answers: false,
         controllers: (0..cli.controllers)
             .map(|n| (format!("n{n}"), controller_addr(n, 8080)))
             .collect(),
@@ -176,8 +177,7 @@
         zones: vec!["z1".to_owned()],
     };
     let machines = cli.machines as usize;
-    let cloud =
-        FakeCloud::new(Rc::new(Loopback), ledger.clone(), template, vec![kind], machines);
+    let cloud = FakeCloud::new(Rc::new(Loopback), ledger.clone(), template, vec![kind], machines);
     cloud.start(Rc::new(Tcp), cloud_addr());
     (0..machines).for_each(|_| drop(cloud.add("z1", false, 0.5)));
     (store, ledger)
--- a/crates/corkfield/src/follow.rs
+++ b/crates/corkfield/src/follow.rs
@@ -18,6 +18,11 @@
 use tokio::sync::{watch, Notify};
 
 const MAX_FINALS: usize = 20_000;
+/// Between two watches. Whatever changes meanwhile comes with one answer: the planner has new jobs
+/// to claim and cancelled ones to stop, while the others only stand by.
+const WATCH_PAUSE: Duration = Duration::from_millis(50);
+const STANDBY_WATCH_PAUSE: Duration = Duration::from_millis(500);
+const WATCH_RETRY: Duration = Duration::from_millis(250);
 const OUT_OF_REACH: Duration = Duration::from_secs(3600);
 
 #[derive(Default)]
@@ -62,6 +67,18 @@
         self.transfer_requests.iter().filter(move |(_, (_, at))| recent(at)).map(|(name, _)| name)
     }
 
+    /// Whether the machine types are known, and a controller that is there plans.
+    fn is_served(&self) -> bool {
+        self.types.is_some()
+            && self.planner.as_ref().is_some_and(|(record, _)| self.is_present(record))
+    }
+
+    /// Whether the process that claimed the planner record is still there.
+    pub fn is_present(&self, record: &PlannerRecord) -> bool {
+        let presence = record.node.as_ref().and_then(|node| self.controllers.get(node));
+        presence.is_some_and(|(presence, _)| presence.incarnation == record.incarnation)
+    }
+
     fn put(&mut self, key: &str, value: Value, version: u64) {
         if let Some(id) = key.strip_prefix(JOBS).and_then(JobId::parse) {
             if let Some(record) = read(key, value) {
@@ -267,22 +284,22 @@
         let pause = match node.state.changes(Use::Claim, FOLLOWED, after, wait).await {
             Ok(events) => {
                 apply(&node, events, begun);
-                if node.leader.is_leading() {
-                    25
-                } else {
-                    150
+                // Without the machine types, or a planner, users and workers wait for what comes next.
+                match node.leader.is_leading() || !follower.cache.borrow().is_served() {
+                    true => WATCH_PAUSE,
+                    false => STANDBY_WATCH_PAUSE,
                 }
             }
             Err(StateError::TooOld) => {
                 follower.synced.set(false);
-                0
+                continue;
             }
             Err(error) => {
                 tracing::debug!(%error, "watch failed");
-                300
+                WATCH_RETRY
             }
         };
-        tokio::time::sleep(Duration::from_millis(pause)).await;
+        node.timers.tick(pause).await;
     }
 }
 
--- a/crates/corkfield/src/leader/claiming.rs
+++ b/crates/corkfield/src/leader/claiming.rs
@@ -11,13 +11,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Records are looked through this often, if no change of them is seen before.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(250);
+
 impl Planning<'_> {
     pub(super) async fn claims(&self) {
         loop {
             let changed = self.node.follower.changed.notified();
             let claimed = self.claim_round().await;
             if !claimed {
-                let _ = tokio::time::timeout(Duration::from_millis(250), changed).await;
+                self.node.timers.within(CLAIM_INTERVAL, changed).await;
             }
         }
     }
--- a/crates/corkfield/src/leader/fencing.rs
+++ b/crates/corkfield/src/leader/fencing.rs
@@ -15,6 +15,9 @@
 /// A machine that did not answer is asked again after this time.
 const FENCE_AGAIN: Duration = Duration::from_millis(1500);
 
+/// While no machine is to be asked, and no higher term to be taken.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+
 const FENCE_PACE: Duration = Duration::from_millis(50);
 
 /// So many machines are asked what they hold, then there is a pause for what their answers bring.
@@ -41,7 +44,7 @@
                 if self.planner.borrow().is_complete() {
                     tried.clear();
                 }
-                tokio::time::sleep(Duration::from_millis(300)).await;
+                self.node.timers.tick(IDLE_INTERVAL).await;
                 continue;
             }
             // Those that never answered come after those that were never asked.
@@ -63,7 +66,7 @@
             let seen = self.node.leader.highest_seen_term.get();
             let term = self.planner.borrow().term();
             if seen <= term {
-                tokio::time::sleep(Duration::from_millis(200)).await;
+                self.node.timers.tick(IDLE_INTERVAL).await;
                 continue;
             }
             let record = PlannerRecord {
@@ -137,7 +140,6 @@
         session = report.session;
     }
     node.leader.want_pass();
-    node.leader.settle.notify_one();
 }
 
 /// Direct orders under way to one machine.
--- a/crates/corkfield/src/leader/mod.rs
+++ b/crates/corkfield/src/leader/mod.rs
@@ -37,6 +37,9 @@
 /// A planner known for this long has heard from all workers that reach it.
 const PLANNER_SETTLED_AFTER: Duration = Duration::from_secs(10);
 
+/// A controller that stands by looks this often whether it may plan, if it sees no change before.
+const STANDBY_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A pass looks at every machine: there is this much time between two for each of them.
 const PASS_PACE: Duration = Duration::from_micros(250);
 const PASS_PACE_MOST: Duration = Duration::from_millis(120);
@@ -183,7 +186,6 @@
     pub fn wake_actions(&self) {
         self.last_report.set(Some(now()));
         self.actions.notify_one();
-        self.settle.notify_one();
     }
 
     /// Asks for a planning pass.
@@ -291,7 +293,7 @@
             tracing::info!(term, ?end, "no longer planning");
         }
         let changed = node.follower.changed.notified();
-        let _ = tokio::time::timeout(Duration::from_millis(300), changed).await;
+        node.timers.within(STANDBY_INTERVAL, changed).await;
         request_transfer(&node).await;
     }
 }
@@ -385,8 +387,10 @@
     }
 
     async fn passes(&self) {
+        let mut earliest = tokio::time::Instant::now();
         loop {
             self.node.leader.wanted.notified().await;
+            tokio::time::sleep_until(earliest).await;
             let begun = now();
             let machines = {
                 let mut planner = self.planner.borrow_mut();
@@ -398,7 +402,7 @@
             self.node.leader.actions.notify_one();
             self.node.leader.settle.notify_one();
             let pace = PASS_PACE * u32::try_from(machines).unwrap_or(u32::MAX);
-            tokio::time::sleep(pace.min(PASS_PACE_MOST).max(took * PASS_REST)).await;
+            earliest = tokio::time::Instant::now() + pace.min(PASS_PACE_MOST).max(took * PASS_REST);
         }
     }
 }
--- a/crates/corkfield/src/leader/provisioning.rs
+++ b/crates/corkfield/src/leader/provisioning.rs
@@ -10,6 +10,9 @@
 use corkfield_wire::store::Txn;
 use std::time::Duration;
 
+/// What only time brings about is looked at this often.
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
+
 const ADJUST_SOON: Duration = Duration::from_millis(200);
 
 /// Machines are rented and returned this often, or that soon after a claim.
@@ -21,7 +24,7 @@
         loop {
             // A claim is followed by a look at the machines without delay: boots take long.
             let claimed = self.claimed.notified();
-            let woken = tokio::time::timeout(Duration::from_millis(250), claimed).await.is_ok();
+            let woken = self.node.timers.within(TICK_INTERVAL, claimed).await;
             let at = now();
             // Another may plan by now, with machines that from here seem idle, silent or never
             // to have come up. While the service is out for all nobody can have taken over since.
--- a/crates/corkfield/src/leader/take_over.rs
+++ b/crates/corkfield/src/leader/take_over.rs
@@ -10,6 +10,8 @@
 use corkfield_wire::store::Txn;
 use std::time::Duration;
 
+/// How often the planner looks whether its place is another's, or should be.
+const LEADERSHIP_CHECK: Duration = Duration::from_millis(500);
 /// Other controllers leave the named successor this long to take over.
 const SUCCESSOR_HEAD_START: Duration = Duration::from_secs(2);
 
@@ -28,7 +30,7 @@
             tokio::select! {
                 () = changed => {}
                 () = lease => {}
-                () = tokio::time::sleep(Duration::from_millis(500)) => {}
+                () = self.node.timers.tick(LEADERSHIP_CHECK) => {}
             }
         }
     }
@@ -37,7 +39,7 @@
     /// hand-over's transaction takes.
     pub(super) async fn until_handed_over(&self) {
         while !self.hand_over().await {
-            tokio::time::sleep(Duration::from_millis(500)).await;
+            self.node.timers.tick(LEADERSHIP_CHECK).await;
         }
     }
 
--- a/crates/corkfield/src/lib.rs
+++ b/crates/corkfield/src/lib.rs
@@ -9,5 +9,6 @@
 mod presence;
 pub mod settings;
 mod settling;
+mod timers;
 mod users;
 mod workers;
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -6,6 +6,7 @@
 use crate::peers::Peers;
 use crate::presence::Presence;
 use crate::settings::Settings;
+use crate::timers::AlignedTimers;
 use crate::workers::RedirectedWorkers;
 use crate::{follow, leader, peers, presence, users, workers};
 use corkfield_cloud::CloudClient;
@@ -37,6 +38,7 @@
     pub peers: Peers,
     pub notifications: Notifications,
     pub redirected: RedirectedWorkers,
+    pub timers: AlignedTimers,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -118,6 +120,7 @@
         peers: Peers::default(),
         notifications: Notifications::default(),
         redirected: RedirectedWorkers::default(),
+        timers: AlignedTimers::default(),
         settings,
     });
     tracing::info!(node = %node.name, listen = %platform.listen, "controller started");
--- a/crates/corkfield/src/notifications.rs
+++ b/crates/corkfield/src/notifications.rs
@@ -50,8 +50,7 @@
     /// Whether that controller has acknowledged every cancellation that users of this one, since
     /// its process began, were told of.
     pub fn all_acknowledged(&self, peer: &str) -> bool {
-        self.open.borrow().get(peer).is_none_or(BTreeMap::is_empty)
-            && !self.dropped.borrow().contains_key(peer)
+        !self.has_open(peer) && !self.dropped.borrow().contains_key(peer)
     }
 
     /// That controller read the state service after `since`: it knows of what was dropped before.
@@ -59,6 +58,10 @@
         self.dropped.borrow_mut().retain(|other, at| other != peer || *at >= since);
     }
 
+    fn has_open(&self, peer: &str) -> bool {
+        self.open.borrow().get(peer).is_some_and(|of_peer| !of_peer.is_empty())
+    }
+
     fn is_open(&self, peer: &str, id: &JobId) -> bool {
         self.open.borrow().get(peer).is_some_and(|of_peer| of_peer.contains_key(id))
     }
@@ -132,8 +135,10 @@
     loop {
         let added = node.notifications.added.notified();
         let jobs = node.notifications.due(peer, keep);
-        if jobs.is_empty() {
-            let _ = tokio::time::timeout(RESEND_INTERVAL, added).await;
+        if jobs.is_empty() && !node.notifications.has_open(peer) {
+            added.await;
+        } else if jobs.is_empty() {
+            node.timers.within(RESEND_INTERVAL, added).await;
         } else if !put(Frame::Cancelled { jobs }) {
             return;
         }
--- a/crates/corkfield/src/peers.rs
+++ b/crates/corkfield/src/peers.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, ReadHalf, WriteHalf};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
@@ -24,6 +24,9 @@
 const MAX_WAITING: usize = 512;
 const MAX_PENDING: usize = 2048;
 
+/// A heartbeat, length and all, comes with one read; larger frames take a few.
+const READ_BUFFER: usize = 2048;
+
 type Pending = oneshot::Sender<Response>;
 
 /// Heartbeats of which the time of sending is kept, for each peer.
@@ -183,7 +186,8 @@
 
 /// Takes what another controller says on the link that it opened.
 async fn serve_link(node: Rc<Node>, stream: Stream) {
-    let (mut reader, writer) = tokio::io::split(stream);
+    let (reader, writer) = tokio::io::split(stream);
+    let mut reader = BufReader::with_capacity(READ_BUFFER, reader);
     let (answers, waiting) = mpsc::channel(MAX_WAITING);
     let writing = write_frames(writer, waiting);
     let reading = async {
@@ -228,12 +232,13 @@
 pub async fn maintain_link(node: Rc<Node>, peer: String, addr: SocketAddr) {
     loop {
         if let Ok(Ok(stream)) = timeout(HEARTBEAT_INTERVAL * 2, node.network.connect(addr)).await {
-            let (mut reader, writer) = tokio::io::split(stream);
+            let (reader, writer) = tokio::io::split(stream);
+            let mut reader = BufReader::with_capacity(READ_BUFFER, reader);
             let (frames, waiting) = mpsc::channel(MAX_WAITING);
             node.peers.links.borrow_mut().insert(peer.clone(), frames.clone());
             let heartbeat = async {
                 while frames.try_send(Frame::Heartbeat(heartbeat(&node, &peer))).is_ok() {
-                    tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+                    node.timers.tick(HEARTBEAT_INTERVAL).await;
                 }
             };
             let reading = async {
@@ -272,7 +277,7 @@
     }
 }
 
-async fn read_frame(stream: &mut ReadHalf<Stream>) -> std::io::Result<Option<Frame>> {
+async fn read_frame(stream: &mut BufReader<ReadHalf<Stream>>) -> std::io::Result<Option<Frame>> {
     let length = stream.read_u32_le().await? as usize;
     if length > MAX_FRAME {
         tracing::debug!(length, "oversized frame from a peer");
--- a/crates/corkfield/src/settling.rs
+++ b/crates/corkfield/src/settling.rs
@@ -21,6 +21,10 @@
 /// Bytes of values that share a transaction, far below what one may have.
 const MOST_BYTES: usize = 32 * 1024;
 
+/// While nothing is due, and no planning pass ends. What comes in between two passes is stored
+/// together.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+
 pub async fn run(node: &Rc<Node>, planner: &Shared) {
     let under_way = Rc::new(());
     let most = node.settings.platform.params.state.txn_ops.max(4) as usize;
@@ -29,9 +33,7 @@
         let due = planner.borrow_mut().settlements(free * most / 2, now());
         if due.is_empty() {
             let woken = node.leader.settle.notified();
-            let _ = tokio::time::timeout(Duration::from_millis(200), woken).await;
-            // What comes in together is stored together.
-            tokio::time::sleep(Duration::from_millis(60)).await;
+            node.timers.within(IDLE_INTERVAL, woken).await;
             continue;
         }
         for batch in batches(due, most) {
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -174,6 +174,5 @@
     let cache = node.follower.cache.borrow();
     let (record, _) = cache.planner.as_ref()?;
     let name = record.node.clone().filter(|name| *name != node.name)?;
-    let (presence, _) = cache.controllers.get(&name)?;
-    (presence.incarnation == record.incarnation).then_some(name)
+    cache.is_present(record).then_some(name)
 }
--- a/crates/corkfield/tests/cluster/mod.rs
+++ b/crates/corkfield/tests/cluster/mod.rs
@@ -167,6 +167,7 @@
             cpus: 0.0,
             report: Duration::from_secs(2),
             lease: Duration::from_secs_f64(LEASE_S),
+            reports_after_answers: true,
             controllers,
         };
         let kind = MachineType {
@@ -182,7 +183,8 @@
             zones: vec!["z1".to_owned(), "z2".to_owned()],
         };
         let capacity = machines as usize;
-        let cloud = FakeCloud::new(Rc::new(net.clone()), ledger.clone(), template, vec![kind], capacity);
+        let cloud =
+            FakeCloud::new(Rc::new(net.clone()), ledger.clone(), template, vec![kind], capacity);
         cloud.start(net.host("cloud"), SocketAddr::from(([10, 2, 1, 1], 443)));
         for n in 0..machines {
             cloud.add(if n % 2 == 0 { "z1" } else { "z2" }, false, 0.5);
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -25,6 +25,9 @@
     pub cpus: f64,
     pub report: Duration,
     pub lease: Duration,
+    /// Reports again after each answer, as if something had changed, not only after changes: a
+    /// scenario then takes less simulated time. A measure of load needs the protocol's own rate.
+    pub reports_after_answers: bool,
     /// All controllers, by name.
     pub controllers: Vec<(String, SocketAddr)>,
 }
@@ -231,6 +234,9 @@
     }
 
     fn execute(&self, orders: Vec<Order>) {
+        if orders.is_empty() && !self.settings.reports_after_answers {
+            return;
+        }
         let mut state = self.state.borrow_mut();
         for order in orders {
             match order {
@@ -415,6 +421,9 @@
                     if valid && !self.dead.get() {
                         {
                             let mut state = self.state.borrow_mut();
+                            if reply.term > state.term {
+                                self.changed.notify_one();
+                            }
                             state.term = reply.term;
                             state.renewed = state.renewed.max(sent);
                         }
