Job ids are kept in place, without an allocation, and read without a copy of the text

A planner compares and copies ids for every task of every report. Same text form and order; ids of up to 20 digits.

--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -276,7 +276,7 @@
     /// Images that it probably has, the most recently used last.
     pub(crate) images: Vec<(String, f64)>,
     /// Jobs whose tasks failed here since a task last completed here.
-    pub(crate) failed_jobs: Vec<String>,
+    pub(crate) failed_jobs: Vec<JobId>,
     pub(crate) failures: u32,
     pub(crate) shunned_until: Option<Instant>,
     /// Run times here against the same jobs' run times elsewhere, smoothed.
--- a/crates/core/src/planner/reports.rs
+++ b/crates/core/src/planner/reports.rs
@@ -278,9 +278,8 @@
                 // A job that fails everywhere says nothing about the machines it fails on.
                 if job.failed_on.len() <= 2 || job.runs.0 > 0 {
                     machine.failures += 1;
-                    let id = task.task.job.as_str();
-                    if !machine.failed_jobs.iter().any(|j| j == id) {
-                        machine.failed_jobs.push(id.to_owned());
+                    if !machine.failed_jobs.contains(&task.task.job) {
+                        machine.failed_jobs.push(task.task.job.clone());
                     }
                 }
                 if job.failed_on.len() >= 3 {
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -692,7 +692,7 @@
     planner.claimed(announcing, TaskSet::default(), 5, Duration::ZERO, start);
     planner.plan(start);
     let first = planner.settlements(1, start);
-    assert_eq!(first[0].job.as_str(), "j-000099", "its other tasks wait for this");
+    assert_eq!(first[0].job.to_string(), "j-000099", "its other tasks wait for this");
     // Writes that fail come again, but not before all others had their turn.
     let mut stored: Vec<JobId> = Vec::new();
     for round in 1..=13 {
--- a/crates/corkfield/examples/load.rs
+++ b/crates/corkfield/examples/load.rs
@@ -134,7 +134,7 @@
 
 /// The last digit of a job's number is its class.
 fn class_of(id: &JobId) -> usize {
-    usize::from(id.as_str().bytes().next_back().unwrap_or(b'0') - b'0')
+    usize::from(id.to_string().bytes().next_back().unwrap_or(b'0') - b'0')
 }
 
 fn mean_run_s(id: &JobId) -> f64 {
--- a/crates/corkfield/src/leader/overview.rs
+++ b/crates/corkfield/src/leader/overview.rs
@@ -11,7 +11,7 @@
         "node": node.name,
         "planner": planner,
         "unfinished_jobs": cache.jobs.len(),
-        "set_aside": cache.jobs.iter().filter(|(_, (r, _))| r.set_aside).map(|(id, _)| id.as_str()).collect::<Vec<_>>(),
+        "set_aside": cache.jobs.iter().filter(|(_, (r, _))| r.set_aside).map(|(id, _)| id.to_string()).collect::<Vec<_>>(),
         "state_age_s": node.follower.proof_age().as_secs_f64(),
     });
     if let Some(planner) = node.leader.planner() {
@@ -24,7 +24,7 @@
             "steps": view.steps,
             "waiting_tasks": view.waiting_tasks,
             "running_tasks": view.running_tasks,
-            "oldest_waiting": oldest.map(|(id, _)| id.as_str()),
+            "oldest_waiting": oldest.map(|(id, _)| id.to_string()),
             "oldest_waiting_s": oldest.map(|(_, age)| age.as_secs_f64()),
             "most_claims": view.most_claims,
             "machines_up": view.machines_up,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod settings;
 pub mod store;
 pub mod taskset;
+mod text;
 pub mod user;
 pub mod worker;
 
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -1,8 +1,8 @@
 //! What users send and receive.
 
-use serde::{Deserialize, Serialize};
+use crate::text::ParsedText;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
-use std::sync::Arc;
 
 /// Most tasks that one job may have.
 pub const MAX_TASKS: u32 = 100_000;
@@ -12,39 +12,58 @@
 pub const PATH_CANCEL: &str = "withdraw";
 pub const PATH_READY: &str = "/ready";
 
-/// The id of a job, chosen by its user.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
-pub struct JobId(Arc<str>);
+const JOB_ID_PREFIX: &str = "j-";
+const JOB_ID_DIGITS: usize = 20;
+
+/// The id of a job, chosen by its user. It is kept in place, without an allocation: a planner
+/// compares and copies ids for every task of every report.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct JobId {
+    /// The digits as they were sent, leading zeros too, then zero bytes: so ids are in order of
+    /// their text.
+    digits: [u8; JOB_ID_DIGITS],
+    length: u8,
+}
 
 impl JobId {
     pub fn parse(text: &str) -> Option<Self> {
-        let digits = text.strip_prefix("j-")?;
-        let ok = (1..=20).contains(&digits.len()) && digits.bytes().all(|b| b.is_ascii_digit());
-        ok.then(|| Self(text.into()))
+        let given = text.strip_prefix(JOB_ID_PREFIX)?.as_bytes();
+        let ok = (1..=JOB_ID_DIGITS).contains(&given.len()) && given.iter().all(u8::is_ascii_digit);
+        if !ok {
+            return None;
+        }
+        let mut digits = [0; JOB_ID_DIGITS];
+        digits[..given.len()].copy_from_slice(given);
+        Some(Self { digits, length: u8::try_from(given.len()).ok()? })
+    }
+
+    fn digits(&self) -> &str {
+        // They were taken from a text, and are ASCII.
+        std::str::from_utf8(&self.digits[..usize::from(self.length)]).unwrap_or_default()
     }
+}
 
-    pub fn as_str(&self) -> &str {
-        &self.0
+impl fmt::Debug for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "JobId({self})")
     }
 }
 
-impl TryFrom<String> for JobId {
-    type Error = String;
-    fn try_from(text: String) -> Result<Self, Self::Error> {
-        Self::parse(&text).ok_or_else(|| "malformed job id".to_owned())
+impl Serialize for JobId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
     }
 }
 
-impl From<JobId> for String {
-    fn from(id: JobId) -> Self {
-        id.as_str().to_owned()
+impl<'de> Deserialize<'de> for JobId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_str(ParsedText { parse: Self::parse, expected: "job id" })
     }
 }
 
 impl fmt::Display for JobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        write!(f, "{JOB_ID_PREFIX}{}", self.digits())
     }
 }
 
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -1,7 +1,8 @@
 //! What workers send, and the orders they take.
 
+use crate::text::ParsedText;
 use crate::user::JobId;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 
 pub const PATH_REPORT: &str = "/agent/beat";
@@ -9,26 +10,28 @@
 pub const PATH_STATUS: &str = "/inspect";
 
 /// One task of a job.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TaskId {
     pub job: JobId,
     pub index: u32,
 }
 
-impl TryFrom<String> for TaskId {
-    type Error = String;
-    fn try_from(text: String) -> Result<Self, Self::Error> {
-        let parsed = text.split_once('/').and_then(|(job, index)| {
-            Some(Self { job: JobId::parse(job)?, index: index.parse().ok()? })
-        });
-        parsed.ok_or_else(|| "malformed task id".to_owned())
+impl TaskId {
+    pub fn parse(text: &str) -> Option<Self> {
+        let (job, index) = text.split_once('/')?;
+        Some(Self { job: JobId::parse(job)?, index: index.parse().ok()? })
     }
 }
 
-impl From<TaskId> for String {
-    fn from(task: TaskId) -> Self {
-        task.to_string()
+impl Serialize for TaskId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for TaskId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_str(ParsedText { parse: Self::parse, expected: "task id" })
     }
 }
 
