--- a/crates/corkfield/src/leader/actions.rs
+++ b/crates/corkfield/src/leader/actions.rs
@@ -6,6 +6,7 @@
 use crate::node::wall_ms;
 use corkfield_core::Action;
 use corkfield_state::{StateError, Use};
+use corkfield_wire::cloud::MAX_RENT;
 use corkfield_wire::records::{machine_key, MachineRecord, PLANNER};
 use corkfield_wire::store::Txn;
 use std::rc::Rc;
@@ -79,8 +80,12 @@
                 });
             }
             Action::Rent(request) => {
+                let adjust_wanted = self.adjust_wanted.clone();
                 tokio::task::spawn_local(async move {
-                    rent(&node, &planner, &request).await;
+                    let filled = rent(&node, &planner, &request).await;
+                    if filled && request.count >= MAX_RENT {
+                        adjust_wanted.notify_one();
+                    }
                 });
             }
             // Asked for again while it is due: see [`Leader::may_start`].
--- a/crates/corkfield/src/leader/claiming.rs
+++ b/crates/corkfield/src/leader/claiming.rs
@@ -122,7 +122,7 @@
                 self.node.leader.take_claimed(self.node, &self.planner, record, finished, version);
             }
         }
-        self.claimed.notify_one();
+        self.adjust_wanted.notify_one();
         true
     }
 
--- a/crates/corkfield/src/leader/mod.rs
+++ b/crates/corkfield/src/leader/mod.rs
@@ -304,7 +304,8 @@
     me: Current,
     /// Version of the planner record that this claim rests on.
     version: Rc<Cell<u64>>,
-    claimed: Notify,
+    /// Jobs were claimed, or a rental was filled: more machines may be needed at once.
+    adjust_wanted: Rc<Notify>,
     /// Claimed jobs whose finished tasks are being read.
     reading: Rc<RefCell<HashSet<JobId>>>,
     /// Machines whose records are to be written.
@@ -322,7 +323,7 @@
         planner: Rc::new(RefCell::new(planner)),
         me: me.clone(),
         version: version.clone(),
-        claimed: Notify::new(),
+        adjust_wanted: Rc::default(),
         reading: Rc::default(),
         unrecorded: RefCell::default(),
         record_wanted: Rc::default(),
--- a/crates/corkfield/src/leader/provisioning.rs
+++ b/crates/corkfield/src/leader/provisioning.rs
@@ -8,7 +8,7 @@
 use corkfield_wire::cloud::{MachineType, RentRequest};
 use corkfield_wire::records::{TypesRecord, PLANNER, TYPES};
 use corkfield_wire::store::Txn;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What only time brings about is looked at this often. Each look costs time for every machine, so
 /// with thousands of them there are fewer.
@@ -18,30 +18,37 @@
 
 const ADJUST_SOON: Duration = Duration::from_millis(200);
 
-/// Machines are rented and returned this often, or that soon after a claim.
+/// Machines are rented and returned this often, or that soon after a claim or a filled rental.
 const ADJUST: Duration = Duration::from_secs(1);
 
 impl Planning<'_> {
     pub(super) async fn ticking(&self) {
+        let mut ticked = None;
         let mut adjusted = None;
         loop {
-            // A claim is followed by a look at the machines without delay: boots take long.
-            let claimed = self.claimed.notified();
-            let woken = self.node.timers.within(self.tick_interval(), claimed).await;
-            let at = now();
+            // A claim is followed by a look at the machines without delay: boots take long. So is a
+            // rental that was filled: a request has a few dozen machines at most, and a fleet of
+            // thousands would otherwise be asked for at that many a second.
+            let wanted = self.adjust_wanted.notified();
+            let woken = self.node.timers.within(self.tick_interval(), wanted).await;
+            let since = |before: Option<Instant>| {
+                before.map_or(Duration::MAX, |before| now().saturating_duration_since(before))
+            };
+            if woken {
+                tokio::time::sleep(ADJUST_SOON.saturating_sub(since(adjusted))).await;
+            }
+            if !woken || since(ticked) >= self.tick_interval() {
+                ticked = Some(now());
+                self.planner.borrow_mut().tick(now());
+            }
             // Another may plan by now, with machines that from here seem idle, silent or never
             // to have come up. While the service is out for all nobody can have taken over since.
             let may_adjust =
                 self.node.leader.may_start(self.node) || self.node.peers.nobody_has_store();
-            let mut planner = self.planner.borrow_mut();
-            planner.tick(at);
-            let age = adjusted.map(|before| at.saturating_duration_since(before));
-            let due = if woken { ADJUST_SOON } else { ADJUST };
-            if may_adjust && age.is_none_or(|age| age >= due) {
-                adjusted = Some(at);
-                planner.adjust_machines(at);
+            if may_adjust && (woken || since(adjusted) >= ADJUST) {
+                adjusted = Some(now());
+                self.planner.borrow_mut().adjust_machines(now());
             }
-            drop(planner);
             self.node.leader.actions.notify_one();
             self.node.leader.want_pass();
         }
@@ -103,7 +110,8 @@
     a.len() == b.len() && a.iter().zip(b).all(|(a, b)| plain(a) == plain(b))
 }
 
-pub(super) async fn rent(node: &Node, planner: &Shared, request: &RentRequest) {
+/// Rents machines; true if as many were to be had as were asked for.
+pub(super) async fn rent(node: &Node, planner: &Shared, request: &RentRequest) -> bool {
     let mut outcome = Err(false);
     for _ in 0..4 {
         match node.cloud.rent(request).await {
@@ -126,5 +134,7 @@
             }
         }
     }
+    let filled = outcome.as_ref().is_ok_and(|names| names.len() >= request.count as usize);
     planner.borrow_mut().rented(request, outcome, now());
+    filled
 }
