Dear machines are asked for only once spot rentals are answered

A test fails without the guard. Connections are closed after answers only above 62 % of the sockets.

--- a/crates/core/src/renting.rs
+++ b/crates/core/src/renting.rs
@@ -227,15 +227,17 @@
             self.machines.values().filter(working).filter_map(cpus).sum::<f64>()
         };
         let (cheap, dear_cpus) = (coming(true), coming(false));
+        let spot_unanswered = self.renting.under_way.values().any(|request| request.spot);
         let mut offers = self.open_offers(now);
         offers.retain(|(_, spot, kind, zone)| {
             let spot = *spot;
-            // It would be returned as soon as it is up.
+            // It would be returned as soon as it is up; or how many spot machines are to be had is
+            // not known yet, and an offer that was asked for already is none at the moment.
             let dear = !spot
                 && want <= spot_want
                 && kind.spot_price > 0.0
                 && kind.price > DEAR * kind.spot_price
-                && enough_cheap(cheap, dear_cpus + kind.cpus, want);
+                && (spot_unanswered || enough_cheap(cheap, dear_cpus + kind.cpus, want));
             let useful = if spot { spot_want > 0.0 } else { !dear };
             useful && self.somebody_fits(kind, zone, spot)
         });
--- a/crates/core/tests/planner.rs
+++ b/crates/core/tests/planner.rs
@@ -914,3 +914,39 @@
         }
     }
 }
+
+/// Rentals of ordinary machines among what the planner asks for.
+fn ordinary_rentals(planner: &mut Planner) -> Vec<RentRequest> {
+    let rentals = planner.take_actions().into_iter().filter_map(|action| match action {
+        Action::Rent(request) if !request.spot => Some(request),
+        _ => None,
+    });
+    rentals.collect()
+}
+
+#[test]
+fn dear_machines_are_asked_for_only_once_it_is_known_that_cheap_ones_lack() {
+    let now = Instant::now();
+    let mut planner = planner(1);
+    planner.claimed(record(80, 1), TaskSet::default(), 5, Duration::ZERO, now);
+    planner.adjust_machines(now);
+    let actions = planner.take_actions();
+    let Some(Action::Rent(spot)) = actions.iter().find(|a| matches!(a, Action::Rent(r) if r.spot))
+    else {
+        panic!("{actions:?}")
+    };
+    let more =
+        JobRecord { spec: JobSpec { id: other_id(), ..record(400, 1).spec }, ..record(400, 1) };
+    planner.claimed(more, TaskSet::default(), 5, Duration::ZERO, now);
+    // The spot offer is under way, and so not open; that is no reason to take the dear one.
+    let soon = now + Duration::from_millis(200);
+    planner.adjust_machines(soon);
+    assert_eq!(ordinary_rentals(&mut planner), Vec::new());
+    planner.rented(spot, Err(true), soon);
+    planner.adjust_machines(soon);
+    assert!(!ordinary_rentals(&mut planner).is_empty(), "no spot machine is to be had");
+}
+
+fn other_id() -> JobId {
+    JobId::parse("j-000002").expect("an id")
+}
--- a/crates/corkfield/src/settings.rs
+++ b/crates/corkfield/src/settings.rs
@@ -187,7 +187,7 @@
             given => given as usize,
         };
         let part = |percent: usize| (all * percent / 100).max(8);
-        Sockets { accepted: part(65), kept: part(58), users: part(25), directs: part(22) }
+        Sockets { accepted: part(65), kept: part(62), users: part(25), directs: part(22) }
     }
 
     pub fn planner_config(&self) -> Config {
