A quiet deployment stays ready: no pause after a watch that ran out, watches of 1.5 s

Cause: a standby's proof of fresh state is as old as its watch was long, plus the pause, plus the next watch: above 4 s where nothing changes for a while. It then took the state service to be away and answered 503 to the load balancer.

--- a/crates/corkfield/src/follow.rs
+++ b/crates/corkfield/src/follow.rs
@@ -283,7 +283,14 @@
         let begun = now();
         let pause = match node.state.changes(Use::Claim, FOLLOWED, after, wait).await {
             Ok(events) => {
+                let quiet =
+                    events.events.is_empty() && now().saturating_duration_since(begun) >= wait / 2;
                 apply(&node, events, begun);
+                // Its proof of fresh state is as old as the watch was long: a pause on top would
+                // make a standby doubt the service, and tell the load balancer that it isn't ready.
+                if quiet {
+                    continue;
+                }
                 // Without the machine types, or a planner, users and workers wait for what comes next.
                 match node.leader.is_leading() || !follower.cache.borrow().is_served() {
                     true => WATCH_PAUSE,
--- a/crates/corkfield/src/settings.rs
+++ b/crates/corkfield/src/settings.rs
@@ -174,9 +174,11 @@
 
     /// How long a watch may stay open. Only its beginning proves fresh state, so it has to be
     /// short against the answer limit: where a cancellation has little more time than a lease,
-    /// a quiet planner would otherwise refuse its workers between two watches.
+    /// a quiet planner would otherwise refuse its workers between two watches. One and its
+    /// predecessor, with a pause between them, also stay below the time after which a controller
+    /// takes the service to be away.
     pub fn watch_wait(&self) -> Duration {
-        (self.answer_limit() / 4).clamp(Duration::from_millis(100), Duration::from_secs(2))
+        (self.answer_limit() / 4).clamp(Duration::from_millis(100), Duration::from_millis(1500))
     }
 
     /// The parts of the sockets that this process may have open. What is left is for the state
--- a/crates/corkfield/tests/scenarios.rs
+++ b/crates/corkfield/tests/scenarios.rs
@@ -651,3 +651,17 @@
         assert_eq!(cluster.ask(2, "GET", unknown, b"").await.map(|r| r.0), Some(503));
     });
 }
+
+#[test]
+fn a_quiet_deployment_stays_ready() {
+    scenario(1, |cluster| async move {
+        // Nothing changes in the store: proofs of fresh state come from watches that run out.
+        for _ in 0..300 {
+            secs(0.1).await;
+            for node in 0..NODES.len() {
+                let answer = cluster.ask(node, "GET", PATH_READY, b"").await;
+                assert_eq!(answer.map(|(status, _)| status), Some(200), "node {node}");
+            }
+        }
+    });
+}
