One reading of the granted memory, one bound of a transaction's bytes, two comments that said more than was measured

No change of behaviour. Settings read the memory in two places alike; claims and settling had the same bound twice; queued machine records are looked through only when a machine is gone.

--- a/crates/corkfield/src/leader/actions.rs
+++ b/crates/corkfield/src/leader/actions.rs
@@ -35,9 +35,10 @@
                 self.unrecorded.borrow_mut().extend(records);
                 self.record_wanted.notify_one();
             }
-            // A record written after its machine's was dropped would hold up the next take-over.
-            let gone = |name: &String| erased.contains(name);
-            self.unrecorded.borrow_mut().retain(|(name, _)| !gone(name));
+            if !erased.is_empty() {
+                // A record written after its machine's was dropped would hold up the next take-over.
+                self.unrecorded.borrow_mut().retain(|(name, _)| !erased.contains(name));
+            }
             // Hundreds of machines go together; what is written of them shares requests.
             erased.chunks(self.txn_changes()).for_each(|part| self.erase(part.to_vec()));
         }
--- a/crates/corkfield/src/leader/claiming.rs
+++ b/crates/corkfield/src/leader/claiming.rs
@@ -2,7 +2,7 @@
 
 use super::Planning;
 use crate::node::now;
-use crate::settling::finished_chunks;
+use crate::settling::{finished_chunks, MOST_BYTES};
 use corkfield_state::{StateError, Use};
 use corkfield_wire::records::{controller_key, job_key, JobRecord, PLANNER};
 use corkfield_wire::store::Txn;
@@ -16,8 +16,6 @@
 
 /// Above so many records that are due, a claim takes as many as a transaction may change.
 const MANY_DUE: usize = 32;
-/// Bytes of records in one claim, far below what a transaction may have.
-const MOST_BYTES: usize = 32 * 1024;
 
 /// Keeps the first records that have no more than so many bytes together, and one at least.
 fn truncate_to_bytes(due: &mut Vec<(JobRecord, u64)>, most: usize) {
@@ -68,8 +66,8 @@
         due.sort_by_key(|(record, _)| (record.spec.priority, record.accepted_ms));
         let most = self.node.settings.platform.params.state.txn_ops.max(1) as usize;
         let batch = (self.node.settings.operator.claim_batch as usize).min(most);
-        // A take-over has hundreds of them: a few at a time would take longer than the tasks of
-        // some of them, which nobody starts meanwhile.
+        // A take-over has hundreds of them. How long they take is set by the changes that may be
+        // written a second; larger claims spare most of the transactions.
         let batch = if due.len() > MANY_DUE { most } else { batch };
         let all = due.len();
         due.truncate(batch);
--- a/crates/corkfield/src/settings.rs
+++ b/crates/corkfield/src/settings.rs
@@ -76,7 +76,7 @@
     }
 }
 
-/// Unfinished jobs for each MB of memory: a planner holds some 4 KiB of each.
+/// Unfinished jobs for each MB of memory: 8 KiB for each. An allowance, not a measurement.
 const JOBS_A_MB: f64 = 128.0;
 const LEAST_MAX_JOBS: f64 = 1000.0;
 const MOST_MAX_JOBS: f64 = 100_000.0;
@@ -140,23 +140,25 @@
     }
 
     fn jobs_in_memory(&self) -> usize {
+        self.memory_mb().map_or(DEFAULT_MAX_JOBS, |memory_mb| {
+            (memory_mb * JOBS_A_MB).clamp(LEAST_MAX_JOBS, MOST_MAX_JOBS) as usize
+        })
+    }
+
+    /// The memory that the platform grants, if it says so.
+    fn memory_mb(&self) -> Option<f64> {
         let memory_mb = self.platform.params.limits.memory_mb;
-        match memory_mb.is_finite() && memory_mb > 0.0 {
-            true => (memory_mb * JOBS_A_MB).clamp(LEAST_MAX_JOBS, MOST_MAX_JOBS) as usize,
-            false => DEFAULT_MAX_JOBS,
-        }
+        (memory_mb.is_finite() && memory_mb > 0.0).then_some(memory_mb)
     }
 
     /// Bytes that an answer of the state service may have. Read into records it takes several
     /// times as much for a moment, so a small process takes small ones: what is larger is read
     /// anew, page by page.
     pub fn state_answer_limit(&self) -> usize {
-        let memory_mb = self.platform.params.limits.memory_mb;
-        match memory_mb.is_finite() && memory_mb > 0.0 {
-            true => ((memory_mb * 1024.0 * 1024.0) as usize / ANSWER_MEMORY_PART)
-                .clamp(LEAST_ANSWER, MOST_ANSWER),
-            false => MOST_ANSWER,
-        }
+        self.memory_mb().map_or(MOST_ANSWER, |memory_mb| {
+            let memory = (memory_mb * 1024.0 * 1024.0) as usize;
+            (memory / ANSWER_MEMORY_PART).clamp(LEAST_ANSWER, MOST_ANSWER)
+        })
     }
 
     /// How long a controller without fresh state goes on answering reports (S6): after that a
--- a/crates/corkfield/src/settling.rs
+++ b/crates/corkfield/src/settling.rs
@@ -18,8 +18,8 @@
 /// Transactions under way at once. One after another, each would wait for the loop's turn and for
 /// a slow answer, and with hundreds of jobs their tasks would wait to be announced meanwhile.
 const AT_ONCE: usize = 6;
-/// Bytes of values that share a transaction, far below what one may have.
-const MOST_BYTES: usize = 32 * 1024;
+/// Bytes of values that share a transaction, of settling or of claims, far below what one may have.
+pub(crate) const MOST_BYTES: usize = 32 * 1024;
 
 /// While nothing is due, and no planning pass ends. What comes in between two passes is stored
 /// together.
