Fixed: the late answer to a completion commit undid a later claim, and its job was never done

Symptom: all tasks of a job done, the job never: it read running or pending until another controller led. Cause: the answer to a commit, or a record read after one, replaced the record of a claim that the store had carried out after it; every later commit rested on the version before the claim and was refused. Change: of a job's record only a higher version is taken.

--- a/crates/core/src/job/commit.rs
+++ b/crates/core/src/job/commit.rs
@@ -55,8 +55,7 @@
     ) {
         self.completion.end_commit();
         self.completion.note_stored(tasks);
-        self.record = record.clone();
-        self.version = version;
+        self.take_stored_record(record.clone(), version);
     }
 
     /// A write of it failed, or was not answered. It may be tried again.
@@ -72,8 +71,17 @@
         version: Revision,
     ) {
         self.completion.found_stored(finished);
-        self.record = record;
-        self.version = version;
+        self.take_stored_record(record, version);
+    }
+
+    /// Takes a record that was stored at that version, unless a later one is known: the answer to
+    /// a write, or a read, may come after that of a later claim. With the version before the claim
+    /// no write of the job would be carried out any more.
+    fn take_stored_record(&mut self, record: JobRecord, version: Revision) {
+        if version > self.version {
+            self.record = record;
+            self.version = version;
+        }
     }
 
     /// A claim that harmed nobody for a while didn't end because of the job (S12).
