Fixed: a job that backs off gives up its assigned starts; one function for a job's state and claim

Symptom: starts left with an attempt of the claim before; debug builds stopped at an assertion. Cause: of the five places that change a job's state or claim only the closing of a job looked at its assigned tasks. Meanwhile these held room and share of the team's limit for up to 64 s. Change: Scheduler::change_job takes them back when the generation changes under which the job may start; a late refusal moves only an active job.

--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -18,7 +18,7 @@
 use crate::team::Usage;
 use completion::Completion;
 use corkfield_wire::records::JobRecord;
-use corkfield_wire::{Attempt, JobSpec, MachineName, Priority, Revision, TaskSet};
+use corkfield_wire::{Attempt, Generation, JobSpec, MachineName, Priority, Revision, TaskSet};
 use start_queue::{StartQueue, StartView};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -140,6 +140,11 @@
         self.state == JobState::Active
     }
 
+    /// The generation under which its tasks may be started now, if they may.
+    pub(crate) fn start_generation(&self) -> Option<Generation> {
+        self.may_start().then_some(self.record.generation)
+    }
+
     /// Tasks reported as done, stored or not.
     pub fn finished(&self) -> &TaskSet {
         self.completion.finished()
--- a/crates/core/src/job/state.rs
+++ b/crates/core/src/job/state.rs
@@ -9,14 +9,16 @@
 /// | (new)           | claimed                                                 | `Active`       |
 /// | (new)           | claimed at the claim limit                              | `DeadLettered` |
 /// | `Active`        | failed on several machines, or wherever it may run      | `BackingOff`   |
-/// | any but Closing | a worker refused a start: no such job or task           | `BackingOff`   |
+/// | `Active`        | a worker refused a start: no such job or task           | `BackingOff`   |
 /// | `BackingOff`    | its time is over                                        | `NeedsReclaim` |
 /// | any but Closing | claimed once more                                       | `Active`       |
 /// | any but Closing | claimed once more, at the claim limit                   | `DeadLettered` |
 /// | any             | cancelled, done, or claimed by another                  | `Closing`      |
 ///
 /// `Closing` is final: the job is forgotten once none of its tasks is on a machine. Every change
-/// goes through `Job::enter`.
+/// goes through `Job::enter`. When a job leaves `Active`, and when it is claimed once more while
+/// `Active`, its assigned tasks are taken off their machines and wait again
+/// (`Scheduler::change_job`); tasks whose start was ordered go on, or are stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobState {
     /// Its tasks may be started.
--- a/crates/core/src/scheduler/claims.rs
+++ b/crates/core/src/scheduler/claims.rs
@@ -37,9 +37,10 @@
             return;
         };
         let id = record.spec.id.clone();
-        if let Some(job) = self.cluster.jobs.get_mut(&id).filter(|j| j.is_live()) {
-            job.reclaimed(record, version, now);
-            if job.state() == JobState::DeadLettered {
+        if self.cluster.jobs.get(&id).is_some_and(Job::is_live) {
+            let dead_lettered = record.dead_lettered;
+            self.change_job(&id, |job| job.reclaimed(record, version, now));
+            if dead_lettered {
                 self.stop_job(&id);
             }
             return;
--- a/crates/core/src/scheduler/heartbeats/exits.rs
+++ b/crates/core/src/scheduler/heartbeats/exits.rs
@@ -2,7 +2,6 @@
 
 use super::Scheduler;
 use crate::cluster::Cluster;
-use crate::job::JobState;
 use crate::machine::MachineState;
 use corkfield_wire::worker::{ExitCause, TaskStatus};
 use corkfield_wire::JobId;
@@ -33,9 +32,7 @@
                 }
             }
             Some(ExitCause::Unknown) => {
-                if let Some(job) = self.cluster.jobs.get_mut(id) {
-                    job.enter(JobState::BackingOff(now + UNKNOWN_TASK_PAUSE));
-                }
+                self.pause_job(id, now + UNKNOWN_TASK_PAUSE);
             }
             _ => {}
         }
@@ -53,12 +50,13 @@
         if job.failures.may_blame_machines() || job_completes {
             machine.health.note_failure(id);
         }
-        if job.failures.call_for_back_off() {
-            job.back_off(now);
-        }
+        let backs_off = job.failures.call_for_back_off();
         if machine.health.is_faulty(job_completes) && machine.state() == MachineState::Up {
             machine.enter(MachineState::Draining);
             self.note_machine_event(name, "machine fails its tasks; drained and returned");
         }
+        if backs_off {
+            self.back_off_job(id, now);
+        }
     }
 }
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod failover;
 mod gone_machines;
 mod heartbeats;
+mod job_states;
 mod machine_events;
 mod machines;
 mod orders;
--- a/crates/core/src/scheduler/tick.rs
+++ b/crates/core/src/scheduler/tick.rs
@@ -56,16 +56,21 @@
     /// Ends back-offs that are over, and begins those of jobs that failed wherever they may run.
     fn tick_jobs(&mut self, now: Instant) {
         let Cluster { jobs, machines, .. } = &mut self.cluster;
-        for job in jobs.values_mut() {
+        let mut failed_everywhere = Vec::new();
+        for (id, job) in jobs {
             if matches!(job.state(), JobState::BackingOff(until) if now >= until) {
                 job.enter(JobState::NeedsReclaim);
             }
             job.update_unplaced_since(now);
             // A job that failed on every machine there is would otherwise wait for ever.
-            if job.has_failed() && !machines.values().any(|m| is_untried(m, job)) {
-                job.back_off(now);
+            if job.may_start() && job.has_failed() && !machines.values().any(|m| is_untried(m, job))
+            {
+                failed_everywhere.push(id.clone());
             }
         }
+        for id in failed_everywhere {
+            self.back_off_job(&id, now);
+        }
     }
 
     /// Counts each job's running tasks.
