--- a/crates/core/src/job/commit.rs
+++ b/crates/core/src/job/commit.rs
@@ -63,13 +63,21 @@
         self.completion.end_commit();
     }
 
-    /// Its record was found in the store, still ours, after a write that was not answered, say.
+    /// Its record was found in the store after a write that was refused or not answered. It is
+    /// taken only if it is of this claim. One that an operator released since has the same
+    /// generation, but no owner: its version must stay unknown, as it is by that that the job is
+    /// found to be due for a claim.
     pub(crate) fn found_record(
         &mut self,
         record: JobRecord,
         finished: &TaskSet,
         version: Revision,
     ) {
+        let same_claim =
+            record.generation == self.record.generation && record.owner == self.record.owner;
+        if !same_claim && version > self.version {
+            return;
+        }
         self.completion.found_stored(finished);
         self.take_stored_record(record, version);
     }
--- a/crates/corkfield/tests/scenarios/combined_faults/back_offs.rs
+++ b/crates/corkfield/tests/scenarios/combined_faults/back_offs.rs
@@ -5,10 +5,11 @@
     claims_jobs, job_spec, scenario, scenario_with_operator, sleep_s, Cluster, CONTROLLERS,
 };
 use corkfield::settings::Operator;
-use corkfield_fakes::{Fault, JobPlan};
+use corkfield_fakes::{FakeWorker, Fault, JobPlan};
 use corkfield_http::Request;
 use corkfield_wire::records::JOBS_PREFIX;
 use corkfield_wire::store::{Change, Condition, Transaction, PATH_TXN};
+use corkfield_wire::JobSpec;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -117,6 +118,32 @@
     }
 }
 
+/// The first machine runs a job's long tasks, the others fail them: the job is dead-lettered at its
+/// second claim. Returns the job and the machines that fail it.
+async fn dead_letter_job(cluster: &Cluster) -> (JobSpec, Vec<Rc<FakeWorker>>) {
+    cluster.cloud.capacity.set(4);
+    let faulty: Vec<_> = cluster.cloud.workers().into_iter().skip(1).collect();
+    for worker in &faulty {
+        worker.fails_all_tasks.set(true);
+    }
+    let job = JobSpec { cpus: 8.0, ..job_spec(1, 4) };
+    cluster.submit(&job, 20.0).await;
+    while !cluster.job_record(&job.id).is_some_and(|record| record.dead_lettered) {
+        sleep_s(0.05).await;
+    }
+    (job, faulty)
+}
+
+/// An operator releases the job, and the machines are mended.
+async fn release_job(cluster: &Cluster, job: &JobSpec, faulty: &[Rc<FakeWorker>]) {
+    let release = format!("/operator/release/{}", job.id);
+    let answer = cluster.request(cluster.leader(), "POST", &release, b"").await;
+    assert_eq!(answer.map(|(status, _)| status), Some(200));
+    for worker in faulty {
+        worker.fails_all_tasks.set(false);
+    }
+}
+
 /// A job is dead-lettered while one of its tasks runs: the task is stopped, and the record that
 /// shows it is written late. Meanwhile an operator releases the job, and the first claim after that
 /// goes unanswered. The write is refused, and the record read after it is of the same generation.
@@ -127,17 +154,7 @@
     for release_after_s in [0.0, 0.2, 0.4, 0.6, 0.8, 1.0, 1.2, 1.4] {
         let operator = Operator { claim_limit: 1, ..Operator::default() };
         scenario_with_operator(operator, 4, |cluster| async move {
-            cluster.cloud.capacity.set(4);
-            let faulty: Vec<_> = cluster.cloud.workers().into_iter().skip(1).collect();
-            for worker in &faulty {
-                worker.fails_all_tasks.set(true);
-            }
-            let mut job = job_spec(1, 4);
-            job.cpus = 8.0;
-            cluster.submit(&job, 20.0).await;
-            while !cluster.job_record(&job.id).is_some_and(|record| record.dead_lettered) {
-                sleep_s(0.05).await;
-            }
+            let (job, faulty) = dead_letter_job(&cluster).await;
             // What is claimed next is claimed in vain.
             cluster.store.set_faults(|request| {
                 if is_completion_commit(request) {
@@ -149,15 +166,37 @@
                 }
             });
             sleep_s(release_after_s).await;
-            let release = format!("/operator/release/{}", job.id);
-            let answer = cluster.request(cluster.leader(), "POST", &release, b"").await;
-            assert_eq!(answer.map(|(status, _)| status), Some(200));
-            for worker in &faulty {
-                worker.fails_all_tasks.set(false);
-            }
+            release_job(&cluster, &job, &faulty).await;
             sleep_s(3.0).await;
             cluster.store.clear_faults();
             cluster.wait_until_done(&job.id, 90.0).await;
         });
     }
 }
+
+/// The claim of a released job is carried out late, after its sender has looked for it in vain, and
+/// the next claim meets it and is refused. The record is the leader's own then, at a generation that
+/// it does not know. As its own it was not claimed once more: the job stayed dead-lettered in the
+/// leader's memory.
+#[test]
+fn a_released_job_whose_claim_is_carried_out_late_runs_again() {
+    let operator = Operator { claim_limit: 1, ..Operator::default() };
+    scenario_with_operator(operator, 4, |cluster| async move {
+        let (job, faulty) = dead_letter_job(&cluster).await;
+        sleep_s(3.0).await;
+        let claims = Cell::new(0);
+        cluster.store.set_faults(move |request| {
+            if !claims_jobs(request) || is_completion_commit(request) {
+                return Fault::None;
+            }
+            claims.set(claims.get() + 1);
+            match claims.get() {
+                1 => Fault::DelayAndLoseAnswer(2.0),
+                2 => Fault::Delay(1.0),
+                _ => Fault::None,
+            }
+        });
+        release_job(&cluster, &job, &faulty).await;
+        cluster.wait_until_done(&job.id, 90.0).await;
+    });
+}
