Fixed: a released job whose claim was carried out late was not claimed once more

Symptom: nothing of a released job runs while that leader leads. Cause: the claim was looked for in vain, carried out late, and the next one refused because of it; the record was the leader's own then, at a generation that it did not know, and what is its own was never due. Change: which records have to be claimed is decided by the scheduler (needs_claim), by owner and generation.

--- a/crates/core/tests/scheduler/main.rs
+++ b/crates/core/tests/scheduler/main.rs
@@ -1,5 +1,6 @@
 //! The scheduler alone: heartbeats, records and answers go in, orders and actions come out.
 
+mod claims;
 mod completion;
 mod failover;
 mod fairness;
--- a/crates/corkfield/src/leadership/claims.rs
+++ b/crates/corkfield/src/leadership/claims.rs
@@ -10,7 +10,6 @@
 use corkfield_wire::records::{controller_key, job_key, JobRecord};
 use corkfield_wire::store::Transaction;
 use corkfield_wire::{JobId, Revision, TaskSet};
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -108,7 +107,6 @@
         let unclaimed = contents.jobs.keys().filter(|id| scheduler.job(id).is_none());
         let unclaimed = unclaimed.filter(|id| !is_cancelled(id)).cloned().collect();
         scheduler.set_unclaimed(unclaimed);
-        let to_reclaim: HashSet<JobId> = scheduler.jobs_to_reclaim().into_iter().collect();
         let reading = self.reading.borrow();
         let own_incarnation = &self.claim.membership.incarnation;
         let mut due = Vec::new();
@@ -116,9 +114,7 @@
             if is_cancelled(id) || reading.contains(id) {
                 continue;
             }
-            let ours = record.owner.as_ref() == Some(own_incarnation);
-            let is_new = scheduler.job(id).is_none_or(|job| *version > job.version && !ours);
-            if is_new || to_reclaim.contains(id) {
+            if scheduler.needs_claim(record, *version, own_incarnation) {
                 due.push(DueJob { record: record.clone(), version: *version });
             }
         }
