--- a/crates/core/tests/scheduler/completion.rs
+++ b/crates/core/tests/scheduler/completion.rs
@@ -174,3 +174,29 @@
     let version = scheduler.job(&first_job_id()).expect("claimed").version;
     assert_eq!(version, Revision::new(7), "the one that our claim rests on");
 }
+
+/// A claim that is held for 10 s without a failure is refunded (S12). The write that does so may be
+/// refused, in an outage of the store for example, or while the leader has no budget: the refund
+/// was forgotten then, and 13 failovers, each with such a write, dead-lettered a healthy job.
+#[test]
+fn a_refund_whose_write_failed_is_made_by_the_next_write_and_only_once() {
+    let now = Instant::now();
+    let after_s = |seconds: u64| now + Duration::from_secs(seconds);
+    let mut scheduler = scheduler(1);
+    let record = JobRecord { claims: 3, ..job_record(1, 4) };
+    scheduler.on_job_claimed(record, TaskSet::default(), Revision::new(5), Duration::ZERO, now);
+    let refused = scheduler.due_completion_commits(4, after_s(11)).remove(0);
+    assert_eq!(refused.record.claims, 2);
+    scheduler.completion_commit_failed(&refused.job, None);
+    let stored = scheduler.due_completion_commits(4, after_s(13)).remove(0);
+    assert_eq!(stored.record.claims, 2, "the refund is still due");
+    scheduler.completion_committed(&stored, Revision::new(6));
+    assert!(scheduler.due_completion_commits(4, after_s(30)).is_empty(), "refunded once");
+    // Not answered, but carried out: found in the store.
+    let record = JobRecord { claims: 2, ..job_record(1, 5) };
+    scheduler.on_job_claimed(record, TaskSet::default(), Revision::new(7), Duration::ZERO, now);
+    let unanswered = scheduler.due_completion_commits(4, after_s(31)).remove(0);
+    let found = (unanswered.record.clone(), TaskSet::default(), Revision::new(8));
+    scheduler.completion_commit_failed(&unanswered.job, Some(found));
+    assert!(scheduler.due_completion_commits(4, after_s(50)).is_empty(), "refunded once");
+}
