Fixed: the refund of a claim was forgotten if its write failed

Cause: it was marked as made when the write was begun. Change: whether a claim was refunded follows from the record that is known to be stored, once a write has failed or a record was found.

--- a/crates/core/src/job/commit.rs
+++ b/crates/core/src/job/commit.rs
@@ -61,6 +61,13 @@
     /// A write of it failed, or was not answered. It may be tried again.
     pub(crate) fn commit_failed(&mut self) {
         self.completion.end_commit();
+        self.update_refunded();
+    }
+
+    /// Whether the claim was refunded, by the record that is known to be stored: a write that
+    /// failed refunded nothing.
+    fn update_refunded(&mut self) {
+        self.refunded = self.record.claims < self.claims_when_claimed;
     }
 
     /// Its record was found in the store after a write that was refused or not answered. It is
@@ -89,6 +96,7 @@
         if version > self.version {
             self.record = record;
             self.version = version;
+            self.update_refunded();
         }
     }
 
--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -68,7 +68,9 @@
     pub(crate) unplaced_since: Option<Instant>,
     /// When it was claimed last.
     claimed_at: Instant,
-    /// This claim was refunded.
+    /// The count of claims when it was claimed last.
+    claims_when_claimed: u32,
+    /// This claim was refunded, or a write that does so is under way.
     refunded: bool,
     /// Failures of its tasks.
     pub(crate) failures: JobFailures,
@@ -93,6 +95,7 @@
         let unplaced_since = Some(if previous_start_watermark == 0 { accepted_at } else { now });
         Self {
             state: JobState::after_claim(record.dead_lettered),
+            claims_when_claimed: record.claims,
             record,
             version,
             team,
@@ -296,6 +299,7 @@
     /// Claimed once more, after a back-off for example.
     pub(crate) fn reclaimed(&mut self, record: JobRecord, version: Revision, now: Instant) {
         let state = JobState::after_claim(record.dead_lettered);
+        self.claims_when_claimed = record.claims;
         self.record = record;
         self.version = version;
         self.claimed_at = now;
