--- a/crates/core/tests/scheduler/main.rs
+++ b/crates/core/tests/scheduler/main.rs
@@ -7,5 +7,6 @@
 mod machines;
 mod placement;
 mod random_faults;
+mod restarts;
 mod starts;
 mod support;
--- a/crates/core/tests/scheduler/random_faults/driver.rs
+++ b/crates/core/tests/scheduler/random_faults/driver.rs
@@ -7,7 +7,7 @@
 use corkfield_core::{Action, Config, MessageNumber, Scheduler, Verdict};
 use corkfield_wire::records::JobRecord;
 use corkfield_wire::settings::Team;
-use corkfield_wire::worker::Order;
+use corkfield_wire::worker::{Order, WorkerHeartbeat};
 use corkfield_wire::{Incarnation, JobId, MachineName, Priority, Revision, Term};
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
@@ -19,6 +19,8 @@
 pub const CPU_LIMIT: f64 = 6.0;
 /// A job is dead-lettered after so many claims.
 const CLAIM_LIMIT: u32 = 4;
+/// The part of the heartbeats that are held back while there are troubles.
+const HELD_BACK: f64 = 0.15;
 /// So many machines at the most.
 const MAX_MACHINES: usize = 6;
 /// So many unfinished jobs at the most.
@@ -57,11 +59,15 @@
     fates: BTreeMap<JobId, Fate>,
     cancelled: Vec<JobId>,
     writes: Vec<PendingWrite>,
+    /// Heartbeats that are held back on their way; their senders have given them up.
+    held_heartbeats: Vec<WorkerHeartbeat>,
     /// Versions of the jobs' records that the scheduler knew after the step before.
     pub known_versions: BTreeMap<JobId, Revision>,
     term: Term,
     machines_started: u32,
     jobs_submitted: u32,
+    /// The part of the heartbeats that are held back.
+    held_back: f64,
 }
 
 fn two_teams() -> Config {
@@ -93,10 +99,12 @@
             fates: BTreeMap::new(),
             cancelled: Vec::new(),
             writes: Vec::new(),
+            held_heartbeats: Vec::new(),
             known_versions: BTreeMap::new(),
             term: Term::new(1),
             machines_started: 0,
             jobs_submitted: 0,
+            held_back: HELD_BACK,
         };
         for _ in 0..MAX_MACHINES / 2 {
             driver.start_machine();
@@ -118,7 +126,11 @@
             90..=91 => self.start_machine(),
             92 => self.lose_some_machine(),
             93 => self.silence_some_worker(),
-            94 => self.trouble_some_machine(),
+            94 => match self.rng.random_range(0..3) {
+                0 => self.trouble_some_machine(),
+                1 => self.restart_some_worker(),
+                _ => self.deliver_some_held_heartbeat(),
+            },
             95..=96 => self.cancel_some_job(),
             97 => self.release_some_dead_lettered_job(),
             98 => self.upload_some_description(),
@@ -169,6 +181,10 @@
             return false;
         }
         let heartbeat = worker.next_message();
+        if self.rng.random_bool(self.held_back) {
+            self.held_heartbeats.push(heartbeat);
+            return false;
+        }
         if self.scheduler.on_heartbeat(&heartbeat, true, now) != Verdict::Accept {
             return false;
         }
@@ -457,6 +473,30 @@
         }
     }
 
+    /// A machine is back within an instant, with nothing on it.
+    fn restart_some_worker(&mut self) {
+        let Some(name) = self.some_machine() else { return };
+        let now = self.now;
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.restart(now);
+        }
+    }
+
+    /// A heartbeat that was held back arrives; the answer to it reaches nobody.
+    fn deliver_some_held_heartbeat(&mut self) {
+        if self.held_heartbeats.is_empty() {
+            return;
+        }
+        let position = self.rng.random_range(0..self.held_heartbeats.len());
+        let heartbeat = self.held_heartbeats.swap_remove(position);
+        if self.scheduler.on_heartbeat(&heartbeat, true, self.now) == Verdict::Accept {
+            let name = heartbeat.machine.as_str();
+            let (agent_epoch, sequence) = (heartbeat.agent_epoch, heartbeat.sequence);
+            let orders = self.scheduler.orders(name, agent_epoch, sequence, true, self.now);
+            self.check_orders(&orders);
+        }
+    }
+
     /// A machine is asked directly what it holds.
     fn send_some_fence(&mut self) {
         let Some(target) = self.scheduler.fence_targets().into_iter().choose(&mut self.rng) else {
@@ -530,6 +570,7 @@
 
     /// All troubles are over: what can complete has to be done within some minutes.
     pub fn end_troubles(&mut self) {
+        self.held_back = 0.0;
         for fate in self.fates.values_mut() {
             *fate = Fate::Completes;
         }
--- a/crates/core/tests/scheduler/random_faults/workers.rs
+++ b/crates/core/tests/scheduler/random_faults/workers.rs
@@ -74,6 +74,15 @@
         }
     }
 
+    /// The machine is back within an instant: its worker counts anew and knows nothing.
+    pub fn restart(&mut self, now: Instant) {
+        self.agent_epoch = AgentEpoch::FIRST;
+        (self.sequence, self.term) = (0, Term::default());
+        self.tasks.clear();
+        self.renewed_at = now;
+        self.exchange = None;
+    }
+
     /// Whether it sends a heartbeat if it is its turn.
     pub fn may_send(&self, now: Instant) -> bool {
         now >= self.silent_until && self.exchange.is_none()
--- a/crates/corkfield/tests/scenarios/message_faults.rs
+++ b/crates/corkfield/tests/scenarios/message_faults.rs
@@ -7,7 +7,7 @@
 use corkfield_fakes::{Fault, JobPlan};
 use corkfield_wire::records::MACHINE_RECORDS_PREFIX;
 use corkfield_wire::user::{JobView, PATH_CANCEL, PATH_JOBS};
-use corkfield_wire::worker::PATH_HEARTBEAT;
+use corkfield_wire::worker::{WorkerHeartbeat, PATH_HEARTBEAT};
 use corkfield_wire::JobStatus;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -109,6 +109,29 @@
     });
 }
 
+/// A worker was back within its first few heartbeats, and the fall of its numbers went unseen: the
+/// first that arrived of the new process had passed the known one. Then a heartbeat of the former
+/// process arrives that was held back, with a number above all. It lacks the tasks that run, and
+/// freed them: they were started elsewhere as well ("task released ... state=Running").
+#[test]
+fn a_held_back_heartbeat_of_a_former_process_starts_nothing_twice() {
+    scenario(3, |cluster| async move {
+        let job = job_spec(1, 12);
+        cluster.submit(&job, 20.0).await;
+        sleep_s(5.0).await;
+        let worker = cluster.worker_of(&task_id(&job, 0));
+        let newest = worker.sent_heartbeats().pop().expect("it sent some");
+        let newest: WorkerHeartbeat = serde_json::from_slice(&newest).expect("a heartbeat");
+        let sequence = newest.sequence + 30;
+        let held_back = WorkerHeartbeat { sequence, tasks: Vec::new(), ..newest };
+        let body = serde_json::to_vec(&held_back).expect("serializable");
+        cluster.request(cluster.leader(), "POST", PATH_HEARTBEAT, &body).await;
+        cluster.wait_until_done(&job.id, 60.0).await;
+        let name = worker.settings.name.as_str();
+        assert!(cluster.cloud.worker(name).is_none(), "the machine was returned");
+    });
+}
+
 #[test]
 fn controllers_back_at_once_in_the_middle_of_an_election_lose_nothing() {
     scenario(3, |cluster| async move {
