Fixed: a heartbeat held back past an unseen restart of its worker freed tasks that ran

Symptom: two tasks on two machines (stand-ins). Cause: the former process's heartbeat has a higher number than all of the new process, and lacks what that runs. Change: a message that lacks a task which an earlier one of its agent epoch showed as not exited is of another process; it is not taken, and the machine is returned. The tasks that a heartbeat shows are put into order once, not twice.

--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -16,13 +16,15 @@
 pub use state::{MachineState, Recorded};
 pub use tasks::{MachineTask, MachineTaskState, MachineTasks, TaskAttempt};
 
+pub(crate) use tasks::ShownTasks;
+
 pub use messages::MessageNumber;
 
 use crate::job::Job;
 use corkfield_wire::cloud::{ListedMachine, MachineType};
 use corkfield_wire::records::MachineRecord;
 use corkfield_wire::worker::{Order, WorkerHeartbeat};
-use corkfield_wire::{Attempt, JobSpec, MachineName, TaskId, Term};
+use corkfield_wire::{AgentEpoch, Attempt, JobSpec, MachineName, TaskId, Term};
 use health::MachineHealth;
 use image_cache::ImageCache;
 use lease::WorkerLease;
@@ -192,6 +194,18 @@
         self.reachability = next;
     }
 
+    /// Whether a message lacks a task that an earlier one of its agent epoch showed on the machine,
+    /// not exited. A task stays in the heartbeats until its worker was ordered to forget it, which is
+    /// done only once it has exited. So the message is of another process than the earlier one: the
+    /// worker was back within an instant and counts anew, or the message is of the process before
+    /// that, and was held back. It says nothing of what the machine holds.
+    pub(crate) fn has_lost_tasks(&self, agent_epoch: AgentEpoch, shown: &ShownTasks) -> bool {
+        let is_lost = |(key, task): (&TaskAttempt, &MachineTask)| {
+            task.was_shown_alive() && !shown.contains(key)
+        };
+        agent_epoch == self.messages.newest().agent_epoch && self.tasks.iter().any(is_lost)
+    }
+
     /// Takes what a message that is not outdated says of the machine itself. `own_heartbeat` is
     /// false for an answer to direct orders. Returns the time since the message before.
     pub(crate) fn receive(
--- a/crates/core/src/machine/tasks.rs
+++ b/crates/core/src/machine/tasks.rs
@@ -2,9 +2,10 @@
 
 use super::Need;
 use crate::team::Usage;
+use corkfield_wire::worker::WorkerHeartbeat;
 use corkfield_wire::{AgentEpoch, Attempt, JobId, JobSpec, Priority, TaskId};
 use std::cell::OnceCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::{Deref, DerefMut};
 use std::time::{Duration, Instant};
 
@@ -56,6 +57,22 @@
     pub attempt: Attempt,
 }
 
+/// The tasks that a heartbeat shows.
+#[derive(Debug)]
+pub(crate) struct ShownTasks<'a>(BTreeSet<(&'a TaskId, Attempt)>);
+
+impl<'a> ShownTasks<'a> {
+    /// The tasks that this heartbeat shows.
+    pub(crate) fn of(heartbeat: &'a WorkerHeartbeat) -> Self {
+        Self(heartbeat.tasks.iter().map(|status| (&status.task, status.attempt)).collect())
+    }
+
+    /// Whether that attempt at a task is among them.
+    pub(crate) fn contains(&self, key: &TaskAttempt) -> bool {
+        self.0.contains(&(&key.task, key.attempt))
+    }
+}
+
 /// What a task takes, and on whose account.
 #[derive(Debug, Clone)]
 pub(crate) struct TaskDemand {
@@ -134,6 +151,14 @@
         matches!(self.state, MachineTaskState::Ordered { .. })
     }
 
+    /// Whether the newest message showed it, and not as exited.
+    pub(super) fn was_shown_alive(&self) -> bool {
+        matches!(
+            self.state,
+            MachineTaskState::Fetching | MachineTaskState::Running | MachineTaskState::Saving
+        )
+    }
+
     /// Whether it takes room on the machine and of its team's limit.
     pub fn takes_room(&self) -> bool {
         !matches!(self.state, MachineTaskState::Done | MachineTaskState::Exited)
--- a/crates/core/src/scheduler/heartbeats/mod.rs
+++ b/crates/core/src/scheduler/heartbeats/mod.rs
@@ -6,10 +6,11 @@
 
 use super::{direct_orders, Action, Scheduler};
 use crate::cluster::Cluster;
-use crate::machine::{Machine, MachineTask, MachineTaskState, MessageNumber, TaskAttempt};
+use crate::machine::{
+    Machine, MachineTask, MachineTaskState, MessageNumber, ShownTasks, TaskAttempt,
+};
 use corkfield_wire::worker::{Order, WorkerHeartbeat};
 use corkfield_wire::Term;
-use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 /// A heartbeat that came later than this many intervals after the one before tells nothing of run
@@ -27,10 +28,24 @@
     HigherTerm(Term),
 }
 
+/// Why a worker sent a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum MessageKind {
+    /// One of its own heartbeats.
+    Heartbeat,
+    /// Its answer to direct orders that were sent when `known` was the newest message known of it.
+    DirectAnswer {
+        /// That message.
+        known: MessageNumber,
+    },
+}
+
 /// What of a heartbeat matters to each task that it shows, or lacks.
-struct Receipt {
-    /// False for an answer to direct orders.
-    own_heartbeat: bool,
+struct Receipt<'a> {
+    /// Why it was sent.
+    kind: MessageKind,
+    /// The tasks that it shows.
+    shown: ShownTasks<'a>,
     /// The number of the message.
     number: MessageNumber,
     /// The time since the machine's message before, if that is no longer than usual.
@@ -47,6 +62,22 @@
         own_heartbeat: bool,
         now: Instant,
     ) -> Verdict {
+        let kind = if own_heartbeat {
+            MessageKind::Heartbeat
+        } else {
+            MessageKind::DirectAnswer { known: MessageNumber::default() }
+        };
+        self.on_message(heartbeat, kind, now)
+    }
+
+    /// Takes a message of a worker.
+    pub(super) fn on_message(
+        &mut self,
+        heartbeat: &WorkerHeartbeat,
+        kind: MessageKind,
+        now: Instant,
+    ) -> Verdict {
+        let own_heartbeat = kind == MessageKind::Heartbeat;
         if heartbeat.term > self.term {
             return Verdict::HigherTerm(heartbeat.term);
         }
@@ -56,6 +87,7 @@
         let our_term = self.term;
         let prompt = self.cluster.config.heartbeat_interval.mul_f64(PROMPT_INTERVALS);
         let number = MessageNumber::from(heartbeat);
+        let shown = ShownTasks::of(heartbeat);
         let machine = self.machine_of(heartbeat, now);
         if machine.messages.is_outdated(number) {
             if own_heartbeat {
@@ -63,14 +95,16 @@
             }
             return Verdict::Stale;
         }
-        if machine.messages.has_shown_higher_term(heartbeat.term) {
+        if machine.messages.has_shown_higher_term(heartbeat.term)
+            || machine.has_lost_tasks(heartbeat.agent_epoch, &shown)
+        {
             self.return_restarted(heartbeat.machine.as_str());
             return Verdict::Stale;
         }
         let gap = machine.receive(heartbeat, own_heartbeat, now);
         if machine.update_fence(heartbeat, our_term) {
             let prompt_gap = gap.filter(|gap| *gap <= prompt);
-            let receipt = Receipt { own_heartbeat, number, prompt_gap, now };
+            let receipt = Receipt { kind, number, shown, prompt_gap, now };
             self.on_fresh_heartbeat(heartbeat, &receipt);
         }
         Verdict::Accept
@@ -103,17 +137,15 @@
     /// Brings the tasks known of a machine in line with its heartbeat.
     fn sync_tasks(&mut self, heartbeat: &WorkerHeartbeat, receipt: &Receipt) {
         let name = &heartbeat.machine;
-        let mut reported: BTreeSet<TaskAttempt> = BTreeSet::new();
         let mut start_taken = false;
         for status in &heartbeat.tasks {
-            reported.insert(TaskAttempt { task: status.task.clone(), attempt: status.attempt });
             start_taken |= self.sync_task(name.as_str(), status, receipt);
         }
         let Some(machine) = self.cluster.machines.get_mut(name) else {
             return;
         };
         let missing = machine.tasks.iter().filter(|(key, machine_task)| {
-            receipt.proves_absence_of(machine_task) && !reported.contains(key)
+            receipt.proves_absence_of(machine_task) && !receipt.shown.contains(key)
         });
         let (mut lost, mut start_lost) = (Vec::new(), false);
         for (key, machine_task) in missing {
@@ -151,7 +183,7 @@
     }
 }
 
-impl Receipt {
+impl Receipt<'_> {
     /// Whether a task that this heartbeat lacks is surely not on the machine (S5a).
     fn proves_absence_of(&self, machine_task: &MachineTask) -> bool {
         match machine_task.state {
@@ -160,7 +192,8 @@
             // a while (S3). Only a later heartbeat of its own shows that it was not carried
             // out; an answer to direct orders may have been made while it was under way.
             MachineTaskState::Ordered { agent_epoch, sequence } => {
-                self.own_heartbeat && self.number > MessageNumber { agent_epoch, sequence }
+                self.kind == MessageKind::Heartbeat
+                    && self.number > MessageNumber { agent_epoch, sequence }
             }
             _ => true,
         }
--- a/crates/core/tests/scheduler/restarts.rs
+++ b/crates/core/tests/scheduler/restarts.rs
@@ -1,9 +1,7 @@
 //! Workers that are back within an instant and count their messages anew, while heartbeats of the
 //! former process are held back.
 
-use crate::support::{
-    active_tasks, first_job_id, heartbeat_from, job_record, scheduler, task_status,
-};
+use crate::support::{active_tasks, heartbeat_from, job_record, scheduler, task_status};
 use corkfield_core::{MachineState, Scheduler};
 use corkfield_wire::worker::{Order, TaskPhase, TaskStatus};
 use corkfield_wire::{AgentEpoch, Attempt, Revision, TaskSet};
