--- a/crates/corkfield/src/leadership/claims.rs
+++ b/crates/corkfield/src/leadership/claims.rs
@@ -7,7 +7,7 @@
 use crate::clock::{now, unix_time_ms};
 use crate::store_value::{serialized_bytes, store_value};
 use corkfield_state::{RequestClass, StateError};
-use corkfield_wire::records::{controller_key, job_key, JobRecord};
+use corkfield_wire::records::{controller_key, job_key, JobRecord, Versioned};
 use corkfield_wire::store::Transaction;
 use corkfield_wire::{JobId, Revision, TaskSet};
 use std::rc::Rc;
@@ -31,12 +31,6 @@
     Failed,
 }
 
-/// A job record that is to be claimed, at its version.
-struct DueJob {
-    record: JobRecord,
-    version: Revision,
-}
-
 /// Records that were claimed together.
 struct StoredClaim {
     records: Vec<JobRecord>,
@@ -56,7 +50,7 @@
 
 /// Keeps the first records that have no more than so many bytes together, and one at least.
 /// They are counted as they were before the claim, which changes a few bytes of each.
-fn truncate_to_bytes(due: &mut Vec<DueJob>, max_bytes: usize) {
+fn truncate_to_bytes(due: &mut Vec<Versioned<JobRecord>>, max_bytes: usize) {
     let mut bytes = 0;
     let fits = due.iter().take_while(|job| {
         bytes += serialized_bytes(&job.record);
@@ -99,7 +93,7 @@
     }
 
     /// Makes the scheduler see which jobs are over or not claimed yet; what is to be claimed.
-    fn due_jobs(&self) -> Vec<DueJob> {
+    fn due_jobs(&self) -> Vec<Versioned<JobRecord>> {
         let contents = self.context.replica.contents.borrow();
         let mut scheduler = self.scheduler.borrow_mut();
         let is_cancelled = |id: &JobId| self.context.leadership.is_cancelled(id);
@@ -110,19 +104,19 @@
         let reading = self.reading.borrow();
         let own_incarnation = &self.claim.membership.incarnation;
         let mut due = Vec::new();
-        for (id, (record, version)) in &contents.jobs {
+        for (id, job) in &contents.jobs {
             if is_cancelled(id) || reading.contains(id) {
                 continue;
             }
-            if scheduler.needs_claim(record, *version, own_incarnation) {
-                due.push(DueJob { record: record.clone(), version: *version });
+            if scheduler.needs_claim(&job.record, job.version, own_incarnation) {
+                due.push(job.clone());
             }
         }
         due
     }
 
     /// Keeps the most urgent records, as many as one claim takes.
-    fn truncate_to_batch(&self, due: &mut Vec<DueJob>) {
+    fn truncate_to_batch(&self, due: &mut Vec<Versioned<JobRecord>>) {
         due.sort_by_key(|job| (job.record.spec.priority, job.record.accepted_ms));
         let max_changes = self.context.max_transaction_changes();
         let claim_batch = self.context.env.settings.operator.claim_batch as usize;
@@ -135,7 +129,7 @@
 
     /// The design's claim: one conditional transaction over a few records. `None` if it is not known
     /// to be carried out.
-    async fn claim(&self, batch: Vec<DueJob>) -> Option<StoredClaim> {
+    async fn claim(&self, batch: Vec<Versioned<JobRecord>>) -> Option<StoredClaim> {
         let own_key = controller_key(self.context.env.name.as_str());
         let mut transaction = self.when_leading().when(own_key, self.claim.membership.version);
         let mut records = Vec::new();
--- a/crates/corkfield/src/leadership/election.rs
+++ b/crates/corkfield/src/leadership/election.rs
@@ -83,7 +83,7 @@
         return None;
     }
     let (previous, version) = match &contents.leader {
-        Some((record, version)) => (Some(record.clone()), *version),
+        Some(leader) => (Some(leader.record.clone()), leader.version),
         None => (None, Revision::NONE),
     };
     let own_name = &context.env.name;
@@ -112,7 +112,8 @@
     if contents.is_present(record) {
         return Holder::Present;
     }
-    let version = contents.controllers.get(name).map_or(Revision::NONE, |(_, version)| *version);
+    let version =
+        contents.controllers.get(name).map_or(Revision::NONE, |membership| membership.version);
     Holder::Gone { membership_key: controller_key(name.as_str()), version }
 }
 
--- a/crates/corkfield/src/leadership/election/tests.rs
+++ b/crates/corkfield/src/leadership/election/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use corkfield_wire::records::Membership;
+use corkfield_wire::records::{Membership, Versioned};
 use corkfield_wire::Incarnation;
 
 fn record(node: Option<&str>, incarnation: &str) -> LeaderRecord {
@@ -29,8 +29,11 @@
     let mut contents = ReplicaContents::default();
     let member =
         |incarnation: &str| Membership { incarnation: Incarnation::from(incarnation), lease: 1 };
-    contents.controllers.insert(ControllerName::from("a"), (member("a-1"), Revision::new(30)));
-    contents.controllers.insert(ControllerName::from("b"), (member("b-2"), Revision::new(31)));
+    for (name, incarnation, version) in [("a", "a-1", 30), ("b", "b-2", 31)] {
+        let version = Revision::new(version);
+        let membership = Versioned { record: member(incarnation), version };
+        contents.controllers.insert(ControllerName::from(name), membership);
+    }
 
     assert_eq!(condition(&contents, &record(Some("b"), "b-2")), None, "it is there");
     let later = Some((controller_key("b"), Revision::new(31)));
--- a/crates/corkfield/src/leadership/handover.rs
+++ b/crates/corkfield/src/leadership/handover.rs
@@ -93,7 +93,7 @@
         .borrow()
         .leader
         .as_ref()
-        .map_or(Revision::NONE, |(_, version)| *version);
+        .map_or(Revision::NONE, |leader| leader.version);
     // Carried out late, it must not drive out another leader than the one it is about.
     let transaction = Transaction::default()
         .when(LEADER_KEY, leader_version)
--- a/crates/corkfield/src/leadership/overview.rs
+++ b/crates/corkfield/src/leadership/overview.rs
@@ -77,8 +77,8 @@
     let leader = contents
         .leader
         .as_ref()
-        .and_then(|(record, _)| record.node.as_ref().map(ControllerName::as_str));
-    let dead_lettered = contents.jobs.iter().filter(|(_, (record, _))| record.dead_lettered);
+        .and_then(|leader| leader.record.node.as_ref().map(ControllerName::as_str));
+    let dead_lettered = contents.jobs.iter().filter(|(_, job)| job.record.dead_lettered);
     let dead_lettered: Vec<String> = dead_lettered.map(|(id, _)| id.to_string()).collect();
     let scheduler = leadership.scheduler();
     let leading = scheduler.map(|scheduler| LeaderOverview::new(&scheduler.borrow()));
--- a/crates/corkfield/src/leadership/shared.rs
+++ b/crates/corkfield/src/leadership/shared.rs
@@ -7,8 +7,8 @@
 use crate::clock::now;
 use crate::replica::{ReplicaContents, StoreReplica};
 use crate::session_lease::SessionLease;
-use corkfield_wire::records::{JobRecord, TransferRequest};
-use corkfield_wire::{JobId, Revision, Term};
+use corkfield_wire::records::{JobRecord, TransferRequest, Versioned};
+use corkfield_wire::{JobId, Term};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -87,9 +87,9 @@
     pub fn is_replaced(&self, contents: &ReplicaContents) -> bool {
         let state = self.state.borrow();
         state.claim().is_none_or(|claim| {
-            contents.leader.as_ref().is_some_and(|(record, version)| {
-                record.incarnation != claim.membership.incarnation
-                    && *version > claim.record_version.get()
+            contents.leader.as_ref().is_some_and(|leader| {
+                leader.record.incarnation != claim.membership.incarnation
+                    && leader.version > claim.record_version.get()
             })
         })
     }
@@ -121,7 +121,7 @@
     }
 
     /// The same for all that are not among the unfinished.
-    pub fn close_all_but(&self, unfinished: &BTreeMap<JobId, (JobRecord, Revision)>) {
+    pub fn close_all_but(&self, unfinished: &BTreeMap<JobId, Versioned<JobRecord>>) {
         let Some(scheduler) = self.scheduler() else { return };
         scheduler.borrow_mut().close_all_but(|id| unfinished.contains_key(id));
         self.actions_pending.notify_one();
--- a/crates/corkfield/src/leadership/shared/tests.rs
+++ b/crates/corkfield/src/leadership/shared/tests.rs
@@ -2,8 +2,9 @@
 use crate::leadership::state::LeadershipClaim;
 use crate::session_lease::Current;
 use corkfield_core::{Config, Scheduler};
-use corkfield_wire::records::LeaderRecord;
+use corkfield_wire::records::{LeaderRecord, Versioned};
 use corkfield_wire::Incarnation;
+use corkfield_wire::Revision;
 use std::cell::Cell;
 
 fn claim(incarnation: &str) -> Rc<LeadershipClaim> {
@@ -64,7 +65,7 @@
     {
         let incarnation = Incarnation::from(incarnation);
         let record = LeaderRecord { node: None, incarnation, term: Term::new(4), successor: None };
-        contents.leader = Some((record, Revision::new(version)));
+        contents.leader = Some(Versioned { record, version: Revision::new(version) });
         assert_eq!(leadership.is_replaced(&contents), replaced, "{:?}", contents.leader);
     }
 }
--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -16,9 +16,9 @@
 use crate::workers::{RedirectedWorkers, WorkerHeartbeats};
 use corkfield_http::net::LocalFuture;
 use corkfield_http::{serve_counted, Connections, Limits, Listener, Network, Response};
-use corkfield_wire::records::JobRecord;
+use corkfield_wire::records::{JobRecord, Versioned};
 use corkfield_wire::worker::PATH_HEARTBEAT;
-use corkfield_wire::{JobId, Revision};
+use corkfield_wire::JobId;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -261,7 +261,7 @@
         self.close_jobs(jobs);
     }
 
-    fn jobs_reloaded(&self, unfinished: &BTreeMap<JobId, (JobRecord, Revision)>) {
+    fn jobs_reloaded(&self, unfinished: &BTreeMap<JobId, Versioned<JobRecord>>) {
         self.close_all_but(unfinished);
     }
 
--- a/crates/corkfield/src/notifications.rs
+++ b/crates/corkfield/src/notifications.rs
@@ -48,7 +48,7 @@
 
     fn linked_leaders(&self) -> Vec<ControllerName> {
         let contents = self.replica.contents.borrow();
-        let recorded = contents.leader.as_ref().and_then(|(record, _)| record.node.as_ref());
+        let recorded = contents.leader.as_ref().and_then(|leader| leader.record.node.as_ref());
         self.links.linked_leaders(recorded, &self.peers)
     }
 }
--- a/crates/corkfield/src/peer_links/outgoing.rs
+++ b/crates/corkfield/src/peer_links/outgoing.rs
@@ -85,7 +85,7 @@
 
     fn heartbeat_to(&self, peer: &str) -> PeerHeartbeat {
         let contents = self.replica.contents.borrow();
-        let leader = contents.leader.as_ref().map(|(record, _)| record);
+        let leader = contents.leader.as_ref().map(|leader| &leader.record);
         let last_received_number = self.peers.echo_to(peer);
         let lease = self.session_lease.current();
         PeerHeartbeat {
@@ -108,7 +108,7 @@
     /// its users were told of were acknowledged there.
     fn attests_for(&self, peer: &str) -> bool {
         let contents = self.replica.contents.borrow();
-        let leader = contents.leader.as_ref().and_then(|(record, _)| record.node.as_ref());
+        let leader = contents.leader.as_ref().and_then(|leader| leader.record.node.as_ref());
         self.replica.is_synced()
             && self.replica.proof_age() > HEARTBEAT_TIMEOUT
             && !self.leadership.is_leading()
--- a/crates/corkfield/src/replica/contents.rs
+++ b/crates/corkfield/src/replica/contents.rs
@@ -4,7 +4,8 @@
 use corkfield_wire::cloud::MachineType;
 use corkfield_wire::records::{
     FinalRecord, JobRecord, LeaderRecord, MachineTypesRecord, Membership, TransferRequest,
-    CONTROLLERS_PREFIX, JOBS_PREFIX, LEADER_KEY, MACHINE_TYPES_KEY, TRANSFER_REQUESTS_PREFIX,
+    Versioned, CONTROLLERS_PREFIX, JOBS_PREFIX, LEADER_KEY, MACHINE_TYPES_KEY,
+    TRANSFER_REQUESTS_PREFIX,
 };
 use corkfield_wire::store::{Event, Events, Item};
 use corkfield_wire::{ControllerName, JobId, Revision};
@@ -29,13 +30,13 @@
     /// Everything up to this revision is contained.
     revision: Revision,
     /// The unfinished jobs.
-    pub jobs: BTreeMap<JobId, (JobRecord, Revision)>,
+    pub jobs: BTreeMap<JobId, Versioned<JobRecord>>,
     /// The membership records, by controller.
-    pub controllers: BTreeMap<ControllerName, (Membership, Revision)>,
+    pub controllers: BTreeMap<ControllerName, Versioned<Membership>>,
     /// By the controller that asks.
     transfer_requests: BTreeMap<ControllerName, SeenTransferRequest>,
     /// The leader record.
-    pub leader: Option<(LeaderRecord, Revision)>,
+    pub leader: Option<Versioned<LeaderRecord>>,
     /// When the present leader record was first seen.
     leader_since: Option<Instant>,
     /// The machine types on offer, once they are known.
@@ -98,24 +99,25 @@
     /// Whether the machine types are known, and there is a leader whose process is present.
     pub(super) fn is_served(&self) -> bool {
         self.types.is_some()
-            && self.leader.as_ref().is_some_and(|(record, _)| self.is_present(record))
+            && self.leader.as_ref().is_some_and(|leader| self.is_present(&leader.record))
     }
 
     /// Whether the process that claimed the leader record is still there.
     pub fn is_present(&self, record: &LeaderRecord) -> bool {
         let membership = record.node.as_ref().and_then(|node| self.controllers.get(node));
-        membership.is_some_and(|(membership, _)| membership.incarnation == record.incarnation)
+        membership.is_some_and(|membership| membership.record.incarnation == record.incarnation)
     }
 
     /// Takes the record stored under a key.
     fn insert(&mut self, key: &str, value: Value, version: Revision) {
         if let Some(id) = key.strip_prefix(JOBS_PREFIX).and_then(JobId::parse) {
             if let Some(record) = decode(key, value) {
-                self.jobs.insert(id, (record, version));
+                self.jobs.insert(id, Versioned { record, version });
             }
         } else if let Some(node) = key.strip_prefix(CONTROLLERS_PREFIX) {
-            if let Some(membership) = decode(key, value) {
-                self.controllers.insert(ControllerName::from(node), (membership, version));
+            if let Some(record) = decode(key, value) {
+                let membership = Versioned { record, version };
+                self.controllers.insert(ControllerName::from(node), membership);
             }
         } else if let Some(node) = key.strip_prefix(TRANSFER_REQUESTS_PREFIX) {
             if decode::<TransferRequest>(key, value).is_some() {
@@ -125,7 +127,7 @@
                 );
             }
         } else if key == LEADER_KEY {
-            self.leader = decode(key, value).map(|record| (record, version));
+            self.leader = decode(key, value).map(|record| Versioned { record, version });
             self.leader_since = Some(now());
         } else if key == MACHINE_TYPES_KEY {
             self.types = decode::<MachineTypesRecord>(key, value).map(|record| record.types);
@@ -143,8 +145,8 @@
         }
     }
 
-    /// Applies the events that are newer than the contents. Two reads may overlap; what the first brought is skipped, so that
-    /// an older value never replaces a newer one.
+    /// Applies the events that are newer than the contents. Two reads may overlap; what the first
+    /// brought is skipped, so that an older value never replaces a newer one.
     pub(super) fn apply_events(&mut self, events: Events) -> ReadChanges {
         let mut changes = ReadChanges::default();
         for event in events.events {
@@ -179,7 +181,7 @@
             }
             before => before.is_some(),
         });
-        let version_of = |contents: &Self| contents.leader.as_ref().map(|(_, version)| *version);
+        let version_of = |contents: &Self| contents.leader.as_ref().map(|leader| leader.version);
         if version_of(self) == version_of(before) {
             self.leader_since = before.leader_since.or(self.leader_since);
         }
--- a/crates/corkfield/src/replica/contents/tests.rs
+++ b/crates/corkfield/src/replica/contents/tests.rs
@@ -18,5 +18,5 @@
     contents.apply_events(Events { revision: Revision::new(2), events: vec![put(2)] });
     assert!(contents.controllers.is_empty(), "the older read came last");
     contents.apply_events(Events { revision: Revision::new(4), events: vec![delete(3), put(4)] });
-    assert_eq!(contents.controllers["n"].1, Revision::new(4));
+    assert_eq!(contents.controllers["n"].version, Revision::new(4));
 }
--- a/crates/corkfield/src/replica/follower.rs
+++ b/crates/corkfield/src/replica/follower.rs
@@ -4,9 +4,9 @@
 use crate::clock::now;
 use crate::environment::Environment;
 use corkfield_state::{RequestClass, StateError};
-use corkfield_wire::records::{JobRecord, REPLICATED_PREFIX};
+use corkfield_wire::records::{JobRecord, Versioned, REPLICATED_PREFIX};
 use corkfield_wire::store::Events;
-use corkfield_wire::{JobId, Revision};
+use corkfield_wire::JobId;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -33,7 +33,7 @@
 
     /// The copy was replaced as a whole; `unfinished` are all jobs that are not over, with the
     /// versions of their records.
-    fn jobs_reloaded(&self, unfinished: &BTreeMap<JobId, (JobRecord, Revision)>);
+    fn jobs_reloaded(&self, unfinished: &BTreeMap<JobId, Versioned<JobRecord>>);
 
     /// Whether changes have to be seen soon, as by a leader.
     fn watches_closely(&self) -> bool;
--- a/crates/corkfield/src/replica/follower/tests.rs
+++ b/crates/corkfield/src/replica/follower/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::settings::tests::settings_of;
 use corkfield_http::Tcp;
-use corkfield_wire::records::job_key;
+use corkfield_wire::records::{job_key, JobRecord, Versioned};
 use corkfield_wire::store::Event;
 use corkfield_wire::{JobSpec, Revision};
 use std::cell::RefCell;
@@ -33,7 +33,7 @@
         });
     }
 
-    fn jobs_reloaded(&self, _: &BTreeMap<JobId, (JobRecord, Revision)>) {}
+    fn jobs_reloaded(&self, _: &BTreeMap<JobId, Versioned<JobRecord>>) {}
 
     fn watches_closely(&self) -> bool {
         false
--- a/crates/corkfield/src/users/lookup.rs
+++ b/crates/corkfield/src/users/lookup.rs
@@ -4,7 +4,7 @@
 use crate::responses::json;
 use corkfield_http::Response;
 use corkfield_state::{RequestClass, StateError};
-use corkfield_wire::records::{final_key, FinalRecord, JobRecord};
+use corkfield_wire::records::{final_key, FinalRecord, JobRecord, Versioned};
 use corkfield_wire::user::JobView;
 use corkfield_wire::{JobId, JobStatus, Revision};
 use std::time::Duration;
@@ -85,7 +85,7 @@
         if let Some(record) = contents.known_final(id) {
             return Some(StoredJob::Final(record));
         }
-        let (record, version) = contents.jobs.get(id).cloned()?;
+        let Versioned { record, version } = contents.jobs.get(id).cloned()?;
         Some(StoredJob::Unfinished { record: Box::new(record), version })
     }
 
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -102,7 +102,7 @@
         let contents = self.replica.contents.borrow();
         reply.orders.retain(|order| match order {
             Order::Start { task, attempt } => {
-                let record = contents.jobs.get(&task.job).map(|(record, _)| record);
+                let record = contents.jobs.get(&task.job).map(|job| &job.record);
                 matches_generation(task, *attempt, record)
             }
             _ => true,
@@ -211,7 +211,7 @@
     /// The leader, if it is another controller that is present.
     fn other_leader(&self) -> Option<ControllerName> {
         let contents = self.replica.contents.borrow();
-        let (record, _) = contents.leader.as_ref()?;
+        let record = &contents.leader.as_ref()?.record;
         let name = record.node.clone().filter(|name| *name != self.env.name)?;
         contents.is_present(record).then_some(name)
     }
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -19,9 +19,19 @@
 };
 
 use crate::cloud::MachineType;
-use crate::ids::{ControllerName, Incarnation, Term};
+use crate::ids::{ControllerName, Incarnation, Revision, Term};
 use serde::{Deserialize, Serialize};
 
+/// A record, and the version of its key as it was read or written: what a conditional write of it
+/// rests on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Versioned<T> {
+    /// The record.
+    pub record: T,
+    /// The version of its key.
+    pub version: Revision,
+}
+
 /// A controller's membership of the cluster; its key is attached to the controller's lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
