--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -16,8 +16,6 @@
 pub use state::{MachineState, Recorded};
 pub use tasks::{MachineTask, MachineTaskState, MachineTasks, TaskAttempt};
 
-pub(crate) use tasks::ShownTasks;
-
 pub use messages::MessageNumber;
 
 use crate::job::Job;
@@ -194,16 +192,15 @@
         self.reachability = next;
     }
 
-    /// Whether a message lacks a task that an earlier one of its agent epoch showed on the machine,
+    /// Whether one of the tasks that a message lacks was shown by an earlier one of its agent epoch,
     /// not exited. A task stays in the heartbeats until its worker was ordered to forget it, which is
     /// done only once it has exited. So the message is of another process than the earlier one: the
     /// worker was back within an instant and counts anew, or the message is of the process before
     /// that, and was held back. It says nothing of what the machine holds.
-    pub(crate) fn has_lost_tasks(&self, agent_epoch: AgentEpoch, shown: &ShownTasks) -> bool {
-        let is_lost = |(key, task): (&TaskAttempt, &MachineTask)| {
-            task.was_shown_alive() && !shown.contains(key)
-        };
-        agent_epoch == self.messages.newest().agent_epoch && self.tasks.iter().any(is_lost)
+    pub(crate) fn has_lost_one_of(&self, absent: &[TaskAttempt], agent_epoch: AgentEpoch) -> bool {
+        let was_shown_alive =
+            |key: &TaskAttempt| self.tasks.get(key).is_some_and(MachineTask::was_shown_alive);
+        agent_epoch == self.messages.newest().agent_epoch && absent.iter().any(was_shown_alive)
     }
 
     /// Takes what a message that is not outdated says of the machine itself. `own_heartbeat` is
--- a/crates/core/src/machine/tasks.rs
+++ b/crates/core/src/machine/tasks.rs
@@ -57,22 +57,6 @@
     pub attempt: Attempt,
 }
 
-/// The tasks that a heartbeat shows.
-#[derive(Debug)]
-pub(crate) struct ShownTasks<'a>(BTreeSet<(&'a TaskId, Attempt)>);
-
-impl<'a> ShownTasks<'a> {
-    /// The tasks that this heartbeat shows.
-    pub(crate) fn of(heartbeat: &'a WorkerHeartbeat) -> Self {
-        Self(heartbeat.tasks.iter().map(|status| (&status.task, status.attempt)).collect())
-    }
-
-    /// Whether that attempt at a task is among them.
-    pub(crate) fn contains(&self, key: &TaskAttempt) -> bool {
-        self.0.contains(&(&key.task, key.attempt))
-    }
-}
-
 /// What a task takes, and on whose account.
 #[derive(Debug, Clone)]
 pub(crate) struct TaskDemand {
@@ -277,6 +261,14 @@
         self.tasks.range(first..).next().is_some_and(|(key, _)| key.task.job == *job)
     }
 
+    /// The tasks that a heartbeat does not show.
+    pub(crate) fn absent_from(&self, heartbeat: &WorkerHeartbeat) -> Vec<TaskAttempt> {
+        let shown = heartbeat.tasks.iter().map(|status| (&status.task, status.attempt));
+        let shown: BTreeSet<(&TaskId, Attempt)> = shown.collect();
+        let keys = self.tasks.keys();
+        keys.filter(|key| !shown.contains(&(&key.task, key.attempt))).cloned().collect()
+    }
+
     /// What the tasks come to.
     pub(crate) fn totals(&self) -> &Totals {
         self.totals.get_or_init(|| {
--- a/crates/core/src/scheduler/heartbeats/mod.rs
+++ b/crates/core/src/scheduler/heartbeats/mod.rs
@@ -6,9 +6,7 @@
 
 use super::{direct_orders, Action, Scheduler};
 use crate::cluster::Cluster;
-use crate::machine::{
-    Machine, MachineTask, MachineTaskState, MessageNumber, ShownTasks, TaskAttempt,
-};
+use crate::machine::{Machine, MachineTask, MachineTaskState, MessageNumber, TaskAttempt};
 use corkfield_wire::worker::{Order, WorkerHeartbeat};
 use corkfield_wire::Term;
 use std::time::{Duration, Instant};
@@ -41,11 +39,11 @@
 }
 
 /// What of a heartbeat matters to each task that it shows, or lacks.
-struct Receipt<'a> {
+struct Receipt {
     /// Why it was sent.
     kind: MessageKind,
-    /// The tasks that it shows.
-    shown: ShownTasks<'a>,
+    /// Tasks known of the machine that it does not show.
+    absent: Vec<TaskAttempt>,
     /// The number of the message.
     number: MessageNumber,
     /// The time since the machine's message before, if that is no longer than usual.
@@ -87,7 +85,6 @@
         let our_term = self.term;
         let prompt = self.cluster.config.heartbeat_interval.mul_f64(PROMPT_INTERVALS);
         let number = MessageNumber::from(heartbeat);
-        let shown = ShownTasks::of(heartbeat);
         let machine = self.machine_of(heartbeat, now);
         if machine.messages.is_outdated(number) {
             if own_heartbeat {
@@ -95,8 +92,9 @@
             }
             return Verdict::Stale;
         }
+        let absent = machine.tasks.absent_from(heartbeat);
         if machine.messages.has_shown_higher_term(heartbeat.term)
-            || machine.has_lost_tasks(heartbeat.agent_epoch, &shown)
+            || machine.has_lost_one_of(&absent, heartbeat.agent_epoch)
         {
             self.return_restarted(heartbeat.machine.as_str());
             return Verdict::Stale;
@@ -104,7 +102,7 @@
         let gap = machine.receive(heartbeat, own_heartbeat, now);
         if machine.update_fence(heartbeat, our_term) {
             let prompt_gap = gap.filter(|gap| *gap <= prompt);
-            let receipt = Receipt { kind, number, shown, prompt_gap, now };
+            let receipt = Receipt { kind, number, absent, prompt_gap, now };
             self.on_fresh_heartbeat(heartbeat, &receipt);
         }
         Verdict::Accept
@@ -144,13 +142,13 @@
         let Some(machine) = self.cluster.machines.get_mut(name) else {
             return;
         };
-        let missing = machine.tasks.iter().filter(|(key, machine_task)| {
-            receipt.proves_absence_of(machine_task) && !receipt.shown.contains(key)
-        });
         let (mut lost, mut start_lost) = (Vec::new(), false);
-        for (key, machine_task) in missing {
-            start_lost |= machine_task.is_ordered();
-            lost.push(key.clone());
+        for key in &receipt.absent {
+            let machine_task = machine.tasks.get(key);
+            if let Some(task) = machine_task.filter(|task| receipt.proves_absence_of(task)) {
+                start_lost |= task.is_ordered();
+                lost.push(key.clone());
+            }
         }
         if start_taken || start_lost {
             machine.note_delivery(start_taken);
@@ -183,7 +181,7 @@
     }
 }
 
-impl Receipt<'_> {
+impl Receipt {
     /// Whether a task that this heartbeat lacks is surely not on the machine (S5a).
     fn proves_absence_of(&self, machine_task: &MachineTask) -> bool {
         match machine_task.state {
--- a/crates/core/src/scheduler/heartbeats/run_times.rs
+++ b/crates/core/src/scheduler/heartbeats/run_times.rs
@@ -21,7 +21,7 @@
     gap: Duration,
 }
 
-impl Receipt<'_> {
+impl Receipt {
     /// The run time of a task that this heartbeat shows as done, given what was known of it. It
     /// is known only if its beginning and its end were reported at once: a machine that couldn't
     /// send heartbeats for a while is not a slow one.
--- a/crates/corkfield/examples/load/simulation.rs
+++ b/crates/corkfield/examples/load/simulation.rs
@@ -196,7 +196,8 @@
         let due = self.scheduler.due_completion_commits(MAX_COMPLETION_COMMITS, now.instant);
         for completion_commit in due {
             self.counts.done += completion_commit.tasks.len() as u64;
-            self.scheduler.completion_committed(&completion_commit, Revision::new(1));
+            let version = completion_commit.version.next();
+            self.scheduler.completion_committed(&completion_commit, version);
         }
     }
 
--- a/crates/corkfield/tests/scenarios/combined_faults/store_outages.rs
+++ b/crates/corkfield/tests/scenarios/combined_faults/store_outages.rs
@@ -4,6 +4,11 @@
 use crate::cluster::{job_spec, scenario, sleep_s, task_id, CANCEL_S, CONTROLLERS};
 use corkfield_wire::{JobSpec, JobStatus, Priority};
 
+/// How long a machine hangs while the leader changes, in seconds; less than its lease.
+const HUNG_S: f64 = 9.0;
+/// How long a machine reaches only the leader that is cut off, in seconds.
+const ALONE_WITH_LEADER_S: f64 = 28.0;
+
 #[test]
 fn in_an_outage_of_the_store_tasks_go_on_as_long_as_all_controllers_attest() {
     // One restarts, is gone, or is cut off from the leader: then none may go on.
@@ -42,21 +47,32 @@
     // The leader is cut off from all, or ends, at several moments around the outage's end.
     for (ends_s, cut) in [(-3.0, false), (-0.5, true), (0.0, false), (0.2, true), (1.0, true)] {
         scenario(3, |cluster| async move {
+            let long = job_spec(4, 3);
+            cluster.submit(&long, 90.0).await;
             let jobs: Vec<_> = (1..=3).map(|number| job_spec(number, 60)).collect();
             for job in &jobs {
                 cluster.submit(job, 5.0).await;
             }
             sleep_s(4.0).await;
+            // A machine with a long task hangs while the leader changes, or reaches only the one
+            // that is cut off, which answers it for as long as it may (S6).
+            let apart = cluster.worker_of(&task_id(&long, 0));
             let leader = cluster.leader();
             cluster.store.set_down(true);
             sleep_s(20.0 + f64::min(ends_s, 0.0)).await;
             let outage_ends = async {
                 sleep_s(f64::max(-ends_s, 0.0)).await;
                 cluster.store.set_down(false);
+                if !cut {
+                    apart.set_hung(true);
+                }
             };
             let leader_ends = async {
                 sleep_s(f64::max(ends_s, 0.0)).await;
                 if cut {
+                    for other in cluster.other_controllers(leader) {
+                        cluster.net.cut(CONTROLLERS[other], apart.settings.name.as_str());
+                    }
                     cluster.cut_from_peers(leader);
                     cluster.store_refuses[leader].set(true);
                 } else {
@@ -64,10 +80,15 @@
                 }
             };
             tokio::join!(outage_ends, leader_ends);
-            sleep_s(20.0).await;
+            sleep_s(HUNG_S).await;
+            apart.set_hung(false);
+            sleep_s(ALONE_WITH_LEADER_S - HUNG_S).await;
+            for other in cluster.other_controllers(leader) {
+                cluster.net.heal(CONTROLLERS[other], apart.settings.name.as_str());
+            }
             cluster.heal_to_peers(leader);
             cluster.store_refuses[leader].set(false);
-            for job in &jobs {
+            for job in jobs.iter().chain([&long]) {
                 cluster.wait_until_done(&job.id, 150.0).await;
             }
         });
