--- a/crates/core/src/job/commit.rs
+++ b/crates/core/src/job/commit.rs
@@ -80,15 +80,18 @@
         finished: &TaskSet,
         version: Revision,
     ) {
-        let same_claim =
-            record.generation == self.record.generation && record.owner == self.record.owner;
-        if !same_claim && version > self.version {
+        if !self.is_of_same_claim(&record) && version > self.version {
             return;
         }
         self.completion.found_stored(finished);
         self.take_stored_record(record, version);
     }
 
+    /// Whether a record of the job is of the claim that is known.
+    pub(crate) fn is_of_same_claim(&self, record: &JobRecord) -> bool {
+        record.generation == self.record.generation && record.owner == self.record.owner
+    }
+
     /// Takes a record that was stored at that version, unless a later one is known: the answer to
     /// a write, or a read, may come after that of a later claim. With the version before the claim
     /// no write of the job would be carried out any more.
--- a/crates/core/src/job/state.rs
+++ b/crates/core/src/job/state.rs
@@ -18,7 +18,8 @@
 /// `Closing` is final: the job is forgotten once none of its tasks is on a machine. Every change
 /// goes through `Job::enter`. When a job leaves `Active`, and when it is claimed once more while
 /// `Active`, its assigned tasks are taken off their machines and wait again
-/// (`Scheduler::change_job`); tasks whose start was ordered go on, or are stopped.
+/// (`Scheduler::change_job`, or `stop_job` when it is closed); tasks whose start was ordered go on,
+/// or are stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum JobState {
     /// Its tasks may be started.
--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -192,9 +192,9 @@
         self.reachability = next;
     }
 
-    /// Whether one of the tasks that a message lacks was shown by an earlier one of its agent epoch,
-    /// not exited. A task stays in the heartbeats until its worker was ordered to forget it, which is
-    /// done only once it has exited. So the message is of another process than the earlier one: the
+    /// Whether one of the tasks that a message lacks was shown by an earlier one of its agent
+    /// epoch, not exited. A task stays in the heartbeats until its worker was ordered to forget
+    /// it, which is done only once it has exited. So the message is of another process than the earlier one: the
     /// worker was back within an instant and counts anew, or the message is of the process before
     /// that, and was held back. It says nothing of what the machine holds.
     pub(crate) fn has_lost_one_of(&self, absent: &[TaskAttempt], agent_epoch: AgentEpoch) -> bool {
--- a/crates/core/src/scheduler/claims.rs
+++ b/crates/core/src/scheduler/claims.rs
@@ -4,25 +4,24 @@
 use crate::job::{Job, JobState};
 use crate::machine::MachineTaskState;
 use corkfield_wire::records::JobRecord;
-use corkfield_wire::{Incarnation, JobId, Revision, TaskSet};
+use corkfield_wire::{JobId, Revision, TaskSet};
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 impl Scheduler {
-    /// Whether a record, as it is stored at that version, has to be claimed for `owner`, under whom
-    /// this scheduler's jobs are claimed. To be asked only while no claim of the job is under way.
+    /// Whether a record, as it is stored at that version, has to be claimed. To be asked only while
+    /// no claim of the job is under way.
     ///
     /// That is so for a job that is not known, for one that waits for its next claim, and for one
     /// whose record somebody else has changed since: another controller, or an operator who
     /// released it. A record of our own at a generation that is not known is that of a claim that
     /// went unanswered and was carried out late; nobody would take the job up otherwise.
-    pub fn needs_claim(&self, record: &JobRecord, version: Revision, owner: &Incarnation) -> bool {
+    pub fn needs_claim(&self, record: &JobRecord, version: Revision) -> bool {
         let Some(job) = self.cluster.jobs.get(&record.spec.id) else {
             return true;
         };
-        let is_our_claim =
-            record.owner.as_ref() == Some(owner) && record.generation == job.record.generation;
-        job.state() == JobState::NeedsReclaim || (version > job.version && !is_our_claim)
+        job.state() == JobState::NeedsReclaim
+            || (version > job.version && !job.is_of_same_claim(record))
     }
 
     /// Jobs that have to be claimed once more.
--- a/crates/core/src/scheduler/failover.rs
+++ b/crates/core/src/scheduler/failover.rs
@@ -1,6 +1,5 @@
 //! Failover: which machines earlier leaders may have used, and when each is accounted for (S7).
 
-use super::heartbeats::MessageKind;
 use super::{DirectOrderTarget, Scheduler, Verdict};
 use crate::machine::{Machine, MachineState, MessageNumber, Reachability};
 use corkfield_wire::records::MachineRecord;
@@ -71,7 +70,7 @@
         known: MessageNumber,
         now: Instant,
     ) -> Verdict {
-        let verdict = self.on_message(heartbeat, MessageKind::DirectAnswer { known }, now);
+        let verdict = self.on_heartbeat(heartbeat, false, now);
         if MessageNumber::from(heartbeat) <= known {
             self.return_restarted(heartbeat.machine.as_str());
         }
--- a/crates/core/src/scheduler/heartbeats/mod.rs
+++ b/crates/core/src/scheduler/heartbeats/mod.rs
@@ -26,22 +26,10 @@
     HigherTerm(Term),
 }
 
-/// Why a worker sent a message.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum MessageKind {
-    /// One of its own heartbeats.
-    Heartbeat,
-    /// Its answer to direct orders that were sent when `known` was the newest message known of it.
-    DirectAnswer {
-        /// That message.
-        known: MessageNumber,
-    },
-}
-
 /// What of a heartbeat matters to each task that it shows, or lacks.
 struct Receipt {
-    /// Why it was sent.
-    kind: MessageKind,
+    /// False for an answer to direct orders.
+    own_heartbeat: bool,
     /// Tasks known of the machine that it does not show.
     absent: Vec<TaskAttempt>,
     /// The number of the message.
@@ -60,22 +48,6 @@
         own_heartbeat: bool,
         now: Instant,
     ) -> Verdict {
-        let kind = if own_heartbeat {
-            MessageKind::Heartbeat
-        } else {
-            MessageKind::DirectAnswer { known: MessageNumber::default() }
-        };
-        self.on_message(heartbeat, kind, now)
-    }
-
-    /// Takes a message of a worker.
-    pub(super) fn on_message(
-        &mut self,
-        heartbeat: &WorkerHeartbeat,
-        kind: MessageKind,
-        now: Instant,
-    ) -> Verdict {
-        let own_heartbeat = kind == MessageKind::Heartbeat;
         if heartbeat.term > self.term {
             return Verdict::HigherTerm(heartbeat.term);
         }
@@ -102,7 +74,7 @@
         let gap = machine.receive(heartbeat, own_heartbeat, now);
         if machine.update_fence(heartbeat, our_term) {
             let prompt_gap = gap.filter(|gap| *gap <= prompt);
-            let receipt = Receipt { kind, number, absent, prompt_gap, now };
+            let receipt = Receipt { own_heartbeat, number, absent, prompt_gap, now };
             self.on_fresh_heartbeat(heartbeat, &receipt);
         }
         Verdict::Accept
@@ -190,8 +162,7 @@
             // a while (S3). Only a later heartbeat of its own shows that it was not carried
             // out; an answer to direct orders may have been made while it was under way.
             MachineTaskState::Ordered { agent_epoch, sequence } => {
-                self.kind == MessageKind::Heartbeat
-                    && self.number > MessageNumber { agent_epoch, sequence }
+                self.own_heartbeat && self.number > MessageNumber { agent_epoch, sequence }
             }
             _ => true,
         }
--- a/crates/core/src/scheduler/job_states.rs
+++ b/crates/core/src/scheduler/job_states.rs
@@ -48,7 +48,7 @@
     }
 
     /// Takes a job's assigned tasks off their machines: they wait again.
-    pub(super) fn take_back_assigned_tasks_of(&mut self, id: &JobId) {
+    fn take_back_assigned_tasks_of(&mut self, id: &JobId) {
         for AssignedTask { machine, key } in self.assigned_tasks_of(id) {
             self.release_task(machine.as_str(), &key);
         }
--- a/crates/core/tests/scheduler/claims.rs
+++ b/crates/core/tests/scheduler/claims.rs
@@ -34,8 +34,7 @@
 #[test]
 fn records_that_somebody_else_changed_need_a_claim_and_our_own_do_not() {
     let scheduler = scheduler_with_claim();
-    let needs_claim =
-        |record: &JobRecord, version| scheduler.needs_claim(record, version, &owner());
+    let needs_claim = |record: &JobRecord, version| scheduler.needs_claim(record, version);
     let released = JobRecord { owner: None, ..our_record() };
     let others = JobRecord { owner: Some("n1-7".into()), ..our_record() };
     for record in [&released, &others] {
@@ -44,7 +43,7 @@
     }
     assert!(!needs_claim(&our_record(), LATER_VERSION), "a commit of our own");
     assert!(!needs_claim(&our_record(), KNOWN_VERSION));
-    let fresh = scheduler_without_machines(1).needs_claim(&our_record(), KNOWN_VERSION, &owner());
+    let fresh = scheduler_without_machines(1).needs_claim(&our_record(), KNOWN_VERSION);
     assert!(fresh, "not known");
 }
 
@@ -53,5 +52,5 @@
 fn a_record_of_our_own_at_an_unknown_generation_needs_a_claim() {
     let scheduler = scheduler_with_claim();
     let late = JobRecord { generation: Generation::new(3), ..our_record() };
-    assert!(scheduler.needs_claim(&late, LATER_VERSION, &owner()));
+    assert!(scheduler.needs_claim(&late, LATER_VERSION));
 }
--- a/crates/core/tests/scheduler/random_faults/driver.rs
+++ b/crates/core/tests/scheduler/random_faults/driver.rs
@@ -281,9 +281,8 @@
     }
 
     fn due_jobs(&self) -> Vec<JobId> {
-        let owner = self.owner();
         let is_due = |(_, stored): &(&JobId, &StoredJob)| {
-            self.scheduler.needs_claim(&stored.record, stored.version, &owner)
+            self.scheduler.needs_claim(&stored.record, stored.version)
         };
         self.store.jobs.iter().filter(is_due).map(|(id, _)| id.clone()).collect()
     }
--- a/crates/core/tests/scheduler/restarts.rs
+++ b/crates/core/tests/scheduler/restarts.rs
@@ -1,10 +1,10 @@
 //! Workers that are back within an instant and count their messages anew, while heartbeats of the
 //! former process are held back.
 
-use crate::support::{active_tasks, heartbeat_from, job_record, scheduler, task_status};
+use crate::support::{active_tasks, heartbeat_from, scheduler_with_start_sent, task_status};
 use corkfield_core::{MachineState, Scheduler};
-use corkfield_wire::worker::{Order, TaskPhase, TaskStatus};
-use corkfield_wire::{AgentEpoch, Attempt, Revision, TaskSet};
+use corkfield_wire::worker::{TaskPhase, TaskStatus};
+use corkfield_wire::Attempt;
 use std::time::{Duration, Instant};
 
 /// A scheduler of two machines with a job of one task. `host-1` sent its first heartbeat, went on
@@ -12,20 +12,7 @@
 /// second heartbeat, the first that arrives: nothing tells it from the process before. Its answer
 /// carried the start of the task.
 fn scheduler_with_start_sent_after_restart(now: Instant) -> (Scheduler, Attempt) {
-    let mut scheduler = scheduler(1);
-    scheduler.on_heartbeat(&heartbeat_from("host-1", 1, Vec::new()), true, now);
-    scheduler.on_machine_record_written("host-1", true);
-    scheduler.on_heartbeat(&heartbeat_from("host-1", 2, Vec::new()), true, now);
-    scheduler.on_job_claimed(
-        job_record(1, 1),
-        TaskSet::default(),
-        Revision::new(5),
-        Duration::ZERO,
-        now,
-    );
-    scheduler.run_placement_pass(now);
-    let orders = scheduler.orders("host-1", AgentEpoch::FIRST, 2, true, now);
-    let [Order::Start { attempt, .. }] = orders[..] else { panic!("{orders:?}") };
+    let (mut scheduler, attempt) = scheduler_with_start_sent(now);
     scheduler.on_heartbeat(&heartbeat_from("host-2", 1, Vec::new()), true, now);
     scheduler.on_machine_record_written("host-2", true);
     (scheduler, attempt)
--- a/crates/corkfield/src/leadership/claims.rs
+++ b/crates/corkfield/src/leadership/claims.rs
@@ -102,13 +102,12 @@
         let unclaimed = unclaimed.filter(|id| !is_cancelled(id)).cloned().collect();
         scheduler.set_unclaimed(unclaimed);
         let reading = self.reading.borrow();
-        let own_incarnation = &self.claim.membership.incarnation;
         let mut due = Vec::new();
         for (id, job) in &contents.jobs {
             if is_cancelled(id) || reading.contains(id) {
                 continue;
             }
-            if scheduler.needs_claim(&job.record, job.version, own_incarnation) {
+            if scheduler.needs_claim(&job.record, job.version) {
                 due.push(job.clone());
             }
         }
