Fixed: a task that a late heartbeat showed as done was started, or went on, elsewhere

Callers saw a task that was done start once more on another machine, or run there until a heartbeat showed it: capacity and a share of the team's limit for nothing.

Cause: a task was lost with its worker's process and placed anew; a heartbeat of that process, held back, showed it as done under the earlier attempt. The job forgot the place of the later attempt, and its machine went on with it.

Now the attempt that is placed elsewhere is taken back if it was only assigned, and else stopped with the machine's next answer.

The random driver restarts workers amid heartbeats that are held back, and delivers these more often.

--- a/crates/core/src/scheduler/heartbeats/task_status.rs
+++ b/crates/core/src/scheduler/heartbeats/task_status.rs
@@ -2,9 +2,10 @@
 
 use super::{Receipt, Scheduler};
 use crate::cluster::Cluster;
-use crate::job::{Job, JobState};
+use crate::job::{Job, JobState, Placed};
 use crate::machine::{Machine, MachineTask, MachineTaskState, TaskAttempt};
 use corkfield_wire::worker::{ExitCause, TaskPhase, TaskStatus};
+use corkfield_wire::TaskId;
 use std::time::Instant;
 
 /// What was known of a task before a heartbeat.
@@ -100,11 +101,18 @@
         match state {
             MachineTaskState::Done => {
                 let known = known.filter(|_| machine_task.started_by_us);
+                let other = job.active().get(&key.task.index).filter(|placed| {
+                    placed.machine.as_str() != name || placed.attempt != key.attempt
+                });
+                let superseded = other.cloned();
                 if job.finish(key.task.index) {
                     machine.health.note_completion();
                     if let Some(run) = receipt.run_time(known) {
                         run.note(estimate_corrections, job, machine);
                     }
+                    if let Some(placed) = superseded {
+                        self.drop_superseded(&key.task, &placed);
+                    }
                 }
             }
             MachineTaskState::Exited => {
@@ -125,4 +133,22 @@
         self.remove_if_closed(&key.task.job);
         start_taken
     }
+
+    /// A task was done under another attempt than the placed one: a late message shows it. The
+    /// placed attempt has nothing left to do.
+    fn drop_superseded(&mut self, task: &TaskId, placed: &Placed) {
+        let Placed { machine: name, attempt } = placed;
+        let key = TaskAttempt { task: task.clone(), attempt: *attempt };
+        let Some(machine) = self.cluster.machines.get_mut(name) else {
+            return;
+        };
+        let Some(machine_task) = machine.tasks.get_mut(&key) else {
+            return;
+        };
+        if machine_task.state == MachineTaskState::Assigned {
+            self.release_task(name.as_str(), &key);
+        } else {
+            machine_task.stop_at_once();
+        }
+    }
 }
--- a/crates/core/tests/scheduler/random_faults/driver.rs
+++ b/crates/core/tests/scheduler/random_faults/driver.rs
@@ -51,7 +51,7 @@
 /// The scheduler, and all that it deals with.
 pub struct Driver {
     seed: u64,
-    rng: SmallRng,
+    pub(super) rng: SmallRng,
     pub now: Instant,
     pub scheduler: Scheduler,
     pub store: Store,
@@ -60,7 +60,7 @@
     cancelled: Vec<JobId>,
     writes: Vec<PendingWrite>,
     /// Heartbeats that are held back on their way; their senders have given them up.
-    held_heartbeats: Vec<WorkerHeartbeat>,
+    pub(super) held_heartbeats: Vec<WorkerHeartbeat>,
     /// Versions of the jobs' records that the scheduler knew after the step before.
     pub known_versions: BTreeMap<JobId, Revision>,
     term: Term,
@@ -115,7 +115,9 @@
     /// One random event, and the check of all invariants.
     pub fn step(&mut self) {
         match self.rng.random_range(0..100) {
-            0..=29 => self.exchange_with_some_worker(),
+            0..=24 => self.exchange_with_some_worker(),
+            25..=26 => self.restart_amid_held_heartbeats(),
+            27..=29 => self.deliver_some_held_heartbeat(),
             30..=41 => self.advance_some_worker(),
             42..=53 => self.pass_time(),
             54..=61 => self.begin_claim(),
@@ -129,7 +131,7 @@
             94 => match self.rng.random_range(0..3) {
                 0 => self.trouble_some_machine(),
                 1 => self.restart_some_worker(),
-                _ => self.deliver_some_held_heartbeat(),
+                _ => self.drop_some_held_heartbeat(),
             },
             95..=96 => self.cancel_some_job(),
             97 => self.release_some_dead_lettered_job(),
@@ -156,7 +158,7 @@
         Incarnation::from(format!("leader-{}", self.term).as_str())
     }
 
-    fn some_machine(&mut self) -> Option<MachineName> {
+    pub(super) fn some_machine(&mut self) -> Option<MachineName> {
         self.workers.keys().choose(&mut self.rng).cloned()
     }
 
@@ -219,7 +221,7 @@
         }
     }
 
-    fn check_orders(&self, orders: &[Order]) {
+    pub(super) fn check_orders(&self, orders: &[Order]) {
         for order in orders {
             let Order::Start { task, attempt } = order else { continue };
             let record =
@@ -472,30 +474,6 @@
         }
     }
 
-    /// A machine is back within an instant, with nothing on it.
-    fn restart_some_worker(&mut self) {
-        let Some(name) = self.some_machine() else { return };
-        let now = self.now;
-        if let Some(worker) = self.workers.get_mut(&name) {
-            worker.restart(now);
-        }
-    }
-
-    /// A heartbeat that was held back arrives; the answer to it reaches nobody.
-    fn deliver_some_held_heartbeat(&mut self) {
-        if self.held_heartbeats.is_empty() {
-            return;
-        }
-        let position = self.rng.random_range(0..self.held_heartbeats.len());
-        let heartbeat = self.held_heartbeats.swap_remove(position);
-        if self.scheduler.on_heartbeat(&heartbeat, true, self.now) == Verdict::Accept {
-            let name = heartbeat.machine.as_str();
-            let (agent_epoch, sequence) = (heartbeat.agent_epoch, heartbeat.sequence);
-            let orders = self.scheduler.orders(name, agent_epoch, sequence, true, self.now);
-            self.check_orders(&orders);
-        }
-    }
-
     /// A machine is asked directly what it holds.
     fn send_some_fence(&mut self) {
         let Some(target) = self.scheduler.fence_targets().into_iter().choose(&mut self.rng) else {
--- a/crates/core/tests/scheduler/random_faults/mod.rs
+++ b/crates/core/tests/scheduler/random_faults/mod.rs
@@ -6,6 +6,7 @@
 
 mod driver;
 mod invariants;
+mod restarts;
 mod store;
 mod workers;
 
--- a/crates/core/tests/scheduler/random_faults/workers.rs
+++ b/crates/core/tests/scheduler/random_faults/workers.rs
@@ -83,6 +83,11 @@
         self.exchange = None;
     }
 
+    /// Messages that its present process has sent.
+    pub fn messages_sent(&self) -> u64 {
+        self.sequence
+    }
+
     /// Whether it sends a heartbeat if it is its turn.
     pub fn may_send(&self, now: Instant) -> bool {
         now >= self.silent_until && self.exchange.is_none()
--- a/crates/core/tests/scheduler/restarts.rs
+++ b/crates/core/tests/scheduler/restarts.rs
@@ -1,10 +1,12 @@
 //! Workers that are back within an instant and count their messages anew, while heartbeats of the
 //! former process are held back.
 
-use crate::support::{active_tasks, heartbeat_from, scheduler_with_start_sent, task_status};
+use crate::support::{
+    active_task_count, active_tasks, heartbeat_from, scheduler_with_start_sent, task_status,
+};
 use corkfield_core::{MachineState, Scheduler};
-use corkfield_wire::worker::{TaskPhase, TaskStatus};
-use corkfield_wire::Attempt;
+use corkfield_wire::worker::{ExitCause, Order, TaskPhase, TaskStatus, WorkerHeartbeat};
+use corkfield_wire::{AgentEpoch, Attempt};
 use std::time::{Duration, Instant};
 
 /// A scheduler of two machines with a job of one task. `host-1` sent its first heartbeat, went on
@@ -64,3 +66,42 @@
     let moved = place_of_task(&scheduler).map(|(machine, _)| machine);
     assert_eq!(moved.as_deref(), Some("host-2"));
 }
+
+/// A scheduler whose only task was lost with host-1's process, and was assigned to `host-2`; and
+/// the heartbeat of that process, held back, that shows it as done.
+fn scheduler_with_task_done_before_it_was_lost(now: Instant) -> (Scheduler, WorkerHeartbeat) {
+    let (mut scheduler, attempt) = scheduler_with_start_sent_after_restart(now);
+    scheduler.on_heartbeat(&heartbeat_from("host-1", 3, Vec::new()), true, now);
+    scheduler.drain("host-1");
+    scheduler.run_placement_pass(now);
+    let (machine, _) = place_of_task(&scheduler).expect("placed anew");
+    assert_eq!(machine, "host-2");
+    let done = task_status(attempt, TaskPhase::Exited, Some(ExitCause::Done));
+    (scheduler, heartbeat_from("host-1", 5, vec![done]))
+}
+
+/// A task whose result comes late, while it is assigned to another machine, starts nowhere.
+#[test]
+fn a_task_that_a_late_heartbeat_shows_as_done_is_not_started_again() {
+    let now = Instant::now();
+    let (mut scheduler, late) = scheduler_with_task_done_before_it_was_lost(now);
+    scheduler.on_heartbeat(&late, true, now);
+    assert_eq!(active_task_count(&scheduler), 0);
+    scheduler.on_heartbeat(&heartbeat_from("host-2", 2, Vec::new()), true, now);
+    let orders = scheduler.orders("host-2", AgentEpoch::FIRST, 2, true, now);
+    assert!(orders.is_empty(), "{orders:?}");
+}
+
+/// The same once its start has left: it is stopped with the machine's next answer.
+#[test]
+fn a_task_that_a_late_heartbeat_shows_as_done_is_stopped_where_it_was_started_again() {
+    let now = Instant::now();
+    let (mut scheduler, late) = scheduler_with_task_done_before_it_was_lost(now);
+    scheduler.on_heartbeat(&heartbeat_from("host-2", 2, Vec::new()), true, now);
+    let orders = scheduler.orders("host-2", AgentEpoch::FIRST, 2, true, now);
+    let [Order::Start { attempt: started, .. }] = orders[..] else { panic!("{orders:?}") };
+    scheduler.on_heartbeat(&late, true, now);
+    let orders = scheduler.orders("host-2", AgentEpoch::FIRST, 2, true, now);
+    let [Order::Stop { attempt, .. }] = orders[..] else { panic!("{orders:?}") };
+    assert_eq!(attempt, started);
+}
