--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,8 +19,11 @@
 pub use config::Config;
 pub use job::{Job, JobState, Placed};
 pub use machine::{
-    Machine, MachineState, MachineTask, MachineTaskState, MessageNumber, Reachability, Recorded,
+    DirectExchange, Machine, MachineState, MachineTask, MachineTaskState, MessageNumber,
+    MessageOrigin, Reachability, Recorded,
 };
 pub use scaling::RentalFailure;
-pub use scheduler::{Action, CompletionCommit, DirectOrderTarget, Overview, Scheduler, Verdict};
+pub use scheduler::{
+    Action, CompletionCommit, DirectOrderTarget, DirectPurpose, Overview, Scheduler, Verdict,
+};
 pub use team::{check_schedulable, Unschedulable};
--- a/crates/core/src/machine/lease.rs
+++ b/crates/core/src/machine/lease.rs
@@ -14,6 +14,11 @@
     answered_before: Instant,
     /// The term of the newest answer.
     answered_term: Term,
+    /// Until when an earlier leader may answer: the worker has not shown that it knows our term.
+    earlier_leader_until: Option<Instant>,
+    /// A heartbeat below the newest answer's term has come since, and nothing tells whether it was
+    /// written after that answer: it may have renewed the lease, or not.
+    is_answer_doubtful: bool,
     /// It has expired, and the worker has sent no fresh heartbeat since.
     expired: bool,
 }
@@ -25,13 +30,15 @@
             answered_at: now,
             answered_before: now,
             answered_term: Term::default(),
+            earlier_leader_until: None,
+            is_answer_doubtful: false,
             expired: false,
         }
     }
 
     /// An earlier leader may have answered heartbeats until this moment (S6).
     pub(crate) fn may_be_renewed_until(&mut self, at: Instant) {
-        self.answered_at = at;
+        self.earlier_leader_until = Some(at);
     }
 
     /// The first heartbeat, or the first after an expiry, is going to be answered, perhaps not
@@ -47,24 +54,56 @@
         self.answered_term = term;
     }
 
-    /// The worker's next own heartbeat has come, with the term given. A worker sends it only once
-    /// it has taken the answer to the one before or given it up. So a lower term than that
-    /// answer's shows that the answer was not taken, and renewed no lease: otherwise a machine
-    /// that no answer reaches would hold up a failover for as long as its heartbeats come.
+    /// The worker's next own heartbeat has come, with the term given, and was surely written after
+    /// it took the newest answer or gave it up. So a lower term than that answer's shows that it was
+    /// not taken, and renewed no lease: otherwise a machine that no answer reaches would hold up a
+    /// failover for as long as its heartbeats come.
     pub(super) fn note_heartbeat(&mut self, term: Term) {
+        self.is_answer_doubtful = false;
         if term < self.answered_term {
             self.answered_at = self.answered_before;
+        } else {
+            self.note_term_shown();
         }
     }
 
+    /// A heartbeat has come of which nothing tells whether it was written after the newest answer:
+    /// one that was held back may be of a process before the one that took it.
+    pub(super) fn note_doubtful_heartbeat(&mut self, term: Term) {
+        if term < self.answered_term {
+            self.is_answer_doubtful = true;
+        } else {
+            self.note_term_shown();
+        }
+    }
+
+    /// The worker knows our term: it drops whatever an earlier leader still answers.
+    fn note_term_shown(&mut self) {
+        self.is_answer_doubtful = false;
+        if self.answered_term != Term::default() {
+            self.earlier_leader_until = None;
+        }
+    }
+
+    /// Whether another answer would only lengthen a lease that may never have been renewed. An
+    /// earlier leader may have renewed it until a while ago: until then another answer costs
+    /// nothing.
+    pub(crate) fn withholds_answer(&self, now: Instant) -> bool {
+        self.is_answer_doubtful && self.earlier_leader_until.is_none_or(|until| now > until)
+    }
+
     /// Whether no controller can have renewed it for longer than it lasts (S5).
     pub(super) fn is_over(&self, now: Instant, expiry_after: Duration) -> bool {
-        !self.expired && now.saturating_duration_since(self.answered_at) > expiry_after
+        let until = self.earlier_leader_until.unwrap_or(self.answered_at);
+        let renewed_at = self.answered_at.max(until);
+        !self.expired && now.saturating_duration_since(renewed_at) > expiry_after
     }
 
     /// The lease has expired: the worker has stopped its tasks.
     pub(super) fn expire(&mut self) {
         self.expired = true;
+        self.is_answer_doubtful = false;
+        self.earlier_leader_until = None;
     }
 
     /// If the lease had expired, a fresh heartbeat begins a new one.
--- a/crates/core/src/machine/messages.rs
+++ b/crates/core/src/machine/messages.rs
@@ -69,6 +69,11 @@
         term < self.highest_term
     }
 
+    /// Whether a message has shown that term.
+    pub(crate) fn has_shown(&self, term: Term) -> bool {
+        self.highest_term == term
+    }
+
     /// Takes a message that is not outdated.
     pub(super) fn accept(&mut self, number: MessageNumber, term: Term) {
         self.newest = number;
--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -1,16 +1,21 @@
 //! A machine and everything that may be on it.
 
+mod doubt;
+mod evidence;
 mod health;
 mod image_cache;
 mod lease;
 mod messages;
+mod origin;
 mod reachability;
 mod resources;
 mod state;
 mod tasks;
+mod term_exposure;
 #[cfg(test)]
 mod tests;
 
+pub use origin::{DirectExchange, MessageOrigin};
 pub use reachability::Reachability;
 pub use resources::Need;
 pub use state::{MachineState, Recorded};
@@ -18,17 +23,22 @@
 
 pub use messages::MessageNumber;
 
+pub(crate) use doubt::Doubt;
+pub(crate) use evidence::Evidence;
+
 use crate::job::Job;
 use corkfield_wire::cloud::{ListedMachine, MachineType};
 use corkfield_wire::records::MachineRecord;
 use corkfield_wire::worker::{Order, WorkerHeartbeat};
 use corkfield_wire::{AgentEpoch, Attempt, JobSpec, MachineName, TaskId, Term};
+use evidence::Exchanges;
 use health::MachineHealth;
 use image_cache::ImageCache;
 use lease::WorkerLease;
 use messages::MessageHistory;
 use std::time::{Duration, Instant};
 use tasks::TaskDemand;
+use term_exposure::TermExposure;
 
 /// Whether a job may run on machines of that type, in that zone and of that kind.
 pub(crate) fn allows(spec: &JobSpec, type_name: &str, zone: &str, spot: bool) -> bool {
@@ -60,6 +70,10 @@
     pub fenced: bool,
     /// The order of its worker's messages.
     pub(crate) messages: MessageHistory,
+    /// What is known of its worker's processes and exchanges.
+    pub(crate) exchanges: Exchanges,
+    /// Since when it has to be asked what it holds, as its heartbeats don't prove it.
+    pub(crate) doubt: Option<Doubt>,
     /// Its worker's lease.
     pub(crate) lease: WorkerLease,
     /// Since when it is known to exist.
@@ -106,6 +120,8 @@
             recorded: Recorded::No,
             fenced: false,
             messages: MessageHistory::default(),
+            exchanges: Exchanges::default(),
+            doubt: None,
             lease: WorkerLease::new(now),
             known_since: now,
             rented_at: now,
@@ -203,20 +219,43 @@
         agent_epoch == self.messages.newest().agent_epoch && absent.iter().any(was_shown_alive)
     }
 
-    /// Takes what a message that is not outdated says of the machine itself. `own_heartbeat` is
-    /// false for an answer to direct orders. Returns the time since the message before.
+    /// Whether a message lacks tasks that an earlier agent epoch showed, and nothing proves that it
+    /// was written after those messages: it may be of a process before the one that runs them.
+    pub(crate) fn may_predate_newest(&self, absent: &[TaskAttempt], evidence: &Evidence) -> bool {
+        let was_shown_alive =
+            |key: &TaskAttempt| self.tasks.get(key).is_some_and(MachineTask::was_shown_alive);
+        absent.iter().any(was_shown_alive)
+            && !evidence.is_after_message(self.messages.newest(), self.heard_at)
+    }
+
+    /// Whether a message shows an attempt that an earlier one has shown: an attempt is started
+    /// once, so the message is of the same process.
+    pub(crate) fn is_of_known_process(&self, heartbeat: &WorkerHeartbeat) -> bool {
+        heartbeat.tasks.iter().any(|status| {
+            let key = TaskAttempt { task: status.task.clone(), attempt: status.attempt };
+            self.tasks.get(&key).is_some_and(MachineTask::was_shown)
+        })
+    }
+
+    /// Takes what a message that is not outdated says of the machine itself, given what proves when
+    /// it was written. Returns the time since the message before.
     pub(crate) fn receive(
         &mut self,
         heartbeat: &WorkerHeartbeat,
-        own_heartbeat: bool,
+        origin: MessageOrigin,
+        evidence: &Evidence,
         now: Instant,
     ) -> Option<Duration> {
-        self.messages.accept(MessageNumber::from(heartbeat), heartbeat.term);
+        let number = MessageNumber::from(heartbeat);
+        self.messages.accept(number, heartbeat.term);
+        self.exchanges.note_taken(origin, number);
         self.unanswered = 0;
-        if own_heartbeat {
+        if !origin.is_own_heartbeat() {
+            self.note_delivery(true);
+        } else if evidence.is_after_newest_exchange() {
             self.lease.note_heartbeat(heartbeat.term);
         } else {
-            self.note_delivery(true);
+            self.lease.note_doubtful_heartbeat(heartbeat.term);
         }
         self.addr.clone_from(&heartbeat.addr);
         let gap = self.heard_at.map(|at| now.saturating_duration_since(at));
@@ -268,6 +307,7 @@
         tracing::debug!(machine = %self.name, "worker lease has expired");
         self.lease.expire();
         self.fenced = false;
+        self.doubt = None;
         self.messages.end_agent_epoch();
         if self.tasks.values().any(MachineTask::is_ordered) {
             self.note_delivery(false);
--- a/crates/core/src/machine/tasks.rs
+++ b/crates/core/src/machine/tasks.rs
@@ -1,6 +1,6 @@
 //! The tasks on a machine, and what they come to.
 
-use super::Need;
+use super::{MessageNumber, Need};
 use crate::team::Usage;
 use corkfield_wire::worker::WorkerHeartbeat;
 use corkfield_wire::{AgentEpoch, Attempt, JobId, JobSpec, Priority, TaskId};
@@ -143,6 +143,11 @@
         )
     }
 
+    /// Whether a message has shown it.
+    pub(super) fn was_shown(&self) -> bool {
+        !matches!(self.state, MachineTaskState::Assigned | MachineTaskState::Ordered { .. })
+    }
+
     /// Whether it takes room on the machine and of its team's limit.
     pub fn takes_room(&self) -> bool {
         !matches!(self.state, MachineTaskState::Done | MachineTaskState::Exited)
@@ -269,6 +274,22 @@
         keys.filter(|key| !shown.contains(&(&key.task, key.attempt))).cloned().collect()
     }
 
+    /// The newest heartbeat that was answered with a start which that message is the first to show.
+    pub(crate) fn newest_start_shown_by(
+        &self,
+        heartbeat: &WorkerHeartbeat,
+    ) -> Option<MessageNumber> {
+        let shown = heartbeat.tasks.iter().filter_map(|status| {
+            let key = TaskAttempt { task: status.task.clone(), attempt: status.attempt };
+            let MachineTaskState::Ordered { agent_epoch, sequence } = self.tasks.get(&key)?.state
+            else {
+                return None;
+            };
+            Some(MessageNumber { agent_epoch, sequence })
+        });
+        shown.max()
+    }
+
     /// What the tasks come to.
     pub(crate) fn totals(&self) -> &Totals {
         self.totals.get_or_init(|| {
--- a/crates/core/src/machine/tests.rs
+++ b/crates/core/src/machine/tests.rs
@@ -4,6 +4,7 @@
 use super::image_cache::ImageCache;
 use super::lease::WorkerLease;
 use super::messages::MessageHistory;
+use super::term_exposure::TermExposure;
 use super::{MessageNumber, Reachability};
 use corkfield_wire::{AgentEpoch, JobId, Term};
 use std::time::{Duration, Instant};
@@ -119,3 +120,45 @@
     health.note_run_time(10.0);
     assert!(health.is_slow());
 }
+
+/// The states of `TermExposure`: only a single offer, and direct orders that the known process
+/// answered, leave the term with one process.
+#[test]
+fn a_term_is_known_to_one_process_only_after_a_single_offer() {
+    let term = Term::new(3);
+    let mut exposure = TermExposure::default();
+    exposure.note_answer(term, number(1, 1));
+    assert!(!exposure.is_single(term), "nothing has shown it");
+    exposure.note_shown(term, number(1, 2));
+    exposure.note_answer(term, number(1, 2));
+    assert!(exposure.is_single(term));
+    assert!(exposure.note_direct_orders(term));
+    assert!(!exposure.is_single(term), "on their way");
+    exposure.end_direct_orders(true);
+    assert!(exposure.is_single(term));
+    assert!(!exposure.is_single(Term::new(4)), "a higher term is known to nobody");
+    exposure.note_direct_orders(term);
+    exposure.end_direct_orders(false);
+    assert!(!exposure.is_single(term));
+}
+
+/// Two answers before the term is shown, or a late answer to a heartbeat that did not show it, may
+/// have told it to two processes.
+#[test]
+fn a_term_that_was_offered_twice_may_be_known_to_several_processes() {
+    let term = Term::new(3);
+    let mut twice = TermExposure::default();
+    twice.note_answer(term, number(1, 1));
+    twice.note_answer(term, number(1, 2));
+    twice.note_shown(term, number(1, 3));
+    assert!(!twice.is_single(term));
+    let mut late = TermExposure::default();
+    late.note_answer(term, number(1, 1));
+    late.note_shown(term, number(1, 3));
+    late.note_answer(term, number(1, 2));
+    assert!(!late.is_single(term));
+    let mut unoffered = TermExposure::default();
+    unoffered.note_shown(term, number(1, 1));
+    unoffered.note_answer(term, number(1, 1));
+    assert!(!unoffered.is_single(term), "it came from elsewhere");
+}
--- a/crates/core/src/scheduler/action.rs
+++ b/crates/core/src/scheduler/action.rs
@@ -32,6 +32,15 @@
     Delete(Vec<MachineName>),
 }
 
+/// What is sent straight to a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DirectPurpose {
+    /// Orders, or none of them (a fence): the worker learns our term.
+    Order,
+    /// A question what the machine holds, which says nothing of us.
+    Inspect,
+}
+
 /// Where direct orders go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DirectOrderTarget {
@@ -41,6 +50,8 @@
     pub addr: String,
     /// The agent epoch that the orders are for.
     pub agent_epoch: AgentEpoch,
+    /// What is sent.
+    pub purpose: DirectPurpose,
 }
 
 /// Orders that go straight to a machine, for its worker's current agent epoch.
--- a/crates/core/src/scheduler/failover.rs
+++ b/crates/core/src/scheduler/failover.rs
@@ -1,7 +1,9 @@
 //! Failover: which machines earlier leaders may have used, and when each is accounted for (S7).
 
-use super::{DirectOrderTarget, Scheduler, Verdict};
-use crate::machine::{Machine, MachineState, MessageNumber, Reachability};
+use super::{DirectOrderTarget, DirectPurpose, Scheduler, Verdict};
+use crate::machine::{
+    DirectExchange, Machine, MachineState, MessageNumber, MessageOrigin, Reachability,
+};
 use corkfield_wire::records::MachineRecord;
 use corkfield_wire::worker::WorkerHeartbeat;
 use corkfield_wire::{AgentEpoch, MachineName};
@@ -36,14 +38,15 @@
         self.cluster.machines.insert(MachineName::from(name), machine);
     }
 
-    /// Machines that have to be asked, under our term, what they hold, or whether orders reach
-    /// them.
+    /// Machines that have to be asked what they hold, or whether orders reach them. Those that have
+    /// shown our term are asked without it: whoever answers learns nothing from the question.
     pub fn fence_targets(&self) -> Vec<DirectOrderTarget> {
         let asked = self.cluster.machines.values().filter(|machine| {
             !machine.addr.is_empty()
                 && machine.state() != MachineState::Deleting
                 && (machine.reachability() == Reachability::Unreachable
                     || machine.messages.numbering_may_have_restarted()
+                    || machine.doubt.is_some_and(|doubt| doubt.is_due)
                     || self.is_unreconciled(machine.name.as_str()))
         });
         asked
@@ -51,6 +54,11 @@
                 machine: machine.name.clone(),
                 addr: machine.addr.clone(),
                 agent_epoch: machine.messages.newest().agent_epoch.max(AgentEpoch::FIRST),
+                purpose: if machine.messages.has_shown(self.term) {
+                    DirectPurpose::Inspect
+                } else {
+                    DirectPurpose::Order
+                },
             })
             .collect()
     }
@@ -62,21 +70,72 @@
         machine.map(|machine| machine.messages.newest()).unwrap_or_default()
     }
 
-    /// A machine's answer to direct orders that were sent when `known` was the newest message
-    /// known of it.
+    /// Direct orders, or a question, leave for a machine. It has to be followed by
+    /// [`Self::on_direct_orders_answer`] or [`Self::direct_exchange_failed`].
+    pub fn begin_direct_exchange(
+        &mut self,
+        name: &str,
+        purpose: DirectPurpose,
+        now: Instant,
+    ) -> DirectExchange {
+        let known = self.newest_message(name);
+        let term = self.term;
+        let machine = self.cluster.machines.get_mut(name);
+        let may_expose_term = purpose == DirectPurpose::Order
+            && machine.is_some_and(|machine| machine.exchanges.exposure.note_direct_orders(term));
+        DirectExchange { known, asked_at: Some(now), may_expose_term }
+    }
+
+    /// A machine's answer to direct orders, or to a question.
     pub fn on_direct_orders_answer(
         &mut self,
         heartbeat: &WorkerHeartbeat,
-        known: MessageNumber,
+        exchange: impl Into<DirectExchange>,
         now: Instant,
     ) -> Verdict {
-        let verdict = self.on_heartbeat(heartbeat, false, now);
-        if MessageNumber::from(heartbeat) <= known {
+        let exchange = exchange.into();
+        if let Some(machine) = self.cluster.machines.get_mut(&heartbeat.machine) {
+            if exchange.may_expose_term {
+                let by_known_process = machine.is_of_known_process(heartbeat);
+                machine.exchanges.exposure.end_direct_orders(by_known_process);
+            }
+        }
+        let origin = MessageOrigin::DirectAnswer { asked_at: exchange.asked_at };
+        let verdict = self.on_heartbeat(heartbeat, origin, now);
+        if MessageNumber::from(heartbeat) <= exchange.known {
             self.return_restarted(heartbeat.machine.as_str());
         }
         verdict
     }
 
+    /// Direct orders, or a question, have no answer that can be used.
+    pub fn direct_exchange_failed(&mut self, name: &str, exchange: DirectExchange) {
+        self.direct_orders_unanswered(name);
+        if let Some(machine) = self.cluster.machines.get_mut(name) {
+            if exchange.may_expose_term {
+                machine.exchanges.exposure.end_direct_orders(false);
+            }
+        }
+    }
+
+    /// Returns machines of which nothing has proved for longer than a worker's lease what they
+    /// hold, though their heartbeats come: neither answers nor questions reach them, so what runs
+    /// there has lost its lease.
+    pub(super) fn return_doubtful_machines(&mut self, now: Instant) {
+        let expiry_after = self.cluster.config.lease_expiry_after();
+        let mut returned = Vec::new();
+        for machine in self.cluster.machines.values_mut() {
+            let Some(doubt) = machine.doubt.as_mut() else { continue };
+            doubt.tick(now);
+            if doubt.is_older_than(expiry_after, now) {
+                returned.push(machine.name.clone());
+            }
+        }
+        for name in returned {
+            self.return_at_once(name.as_str(), "what it holds is in doubt; machine returned");
+        }
+    }
+
     /// A worker that restarts its numbering has lost all its tasks, and its numbers no longer tell
     /// old heartbeats from new ones. So it is not trusted again: the machine is returned.
     pub(super) fn return_restarted(&mut self, name: &str) {
--- /dev/null
+++ b/crates/core/src/scheduler/heartbeats/absences.rs
@@ -0,0 +1,84 @@
+//! Tasks that a heartbeat does not show, and what it proves of them (S5a).
+
+use super::Receipt;
+use crate::machine::{Doubt, Machine, MachineTask, MachineTaskState, MessageNumber, TaskAttempt};
+use std::time::Instant;
+
+/// What a heartbeat proves of one task that it lacks.
+enum Absence {
+    /// It is surely not on the machine.
+    Lost,
+    /// Its start, which left at that time, may still be carried out, or may have been.
+    StartInDoubt(Instant),
+    /// Nothing.
+    Unknown,
+}
+
+/// What a heartbeat proves of the tasks that it lacks.
+pub(super) struct Absences {
+    /// Tasks that are surely not on the machine.
+    pub(super) lost: Vec<TaskAttempt>,
+    /// One of the worker's own heartbeats lacks a start that was sent before it.
+    pub(super) start_lost: bool,
+    /// When the newest start left that may still be on the machine.
+    newest_doubtful_start: Option<Instant>,
+}
+
+impl Absences {
+    /// What a message proves of the tasks of its machine that it lacks.
+    pub(super) fn of(machine: &Machine, receipt: &Receipt) -> Self {
+        let mut absences =
+            Self { lost: Vec::new(), start_lost: false, newest_doubtful_start: None };
+        for key in &receipt.absent {
+            let Some(task) = machine.tasks.get(key) else { continue };
+            let absence = receipt.absence_of(task);
+            let is_shown_lost = task.is_ordered() && receipt.origin.is_own_heartbeat();
+            absences.start_lost |= is_shown_lost && !matches!(absence, Absence::Unknown);
+            match absence {
+                Absence::Lost => absences.lost.push(key.clone()),
+                Absence::StartInDoubt(left_at) => absences.note_doubtful(left_at),
+                Absence::Unknown => {}
+            }
+        }
+        absences
+    }
+
+    fn note_doubtful(&mut self, left_at: Instant) {
+        let newest = self.newest_doubtful_start.map_or(left_at, |newest| newest.max(left_at));
+        self.newest_doubtful_start = Some(newest);
+    }
+
+    /// The doubt about the machine after that message, given the one before.
+    pub(super) fn doubt(&self, before: Option<Doubt>, receipt: &Receipt) -> Option<Doubt> {
+        // An answer to direct orders raises none: a start may just be on its way.
+        if before.is_none() && !receipt.origin.is_own_heartbeat() {
+            return None;
+        }
+        let left_at = self.newest_doubtful_start?;
+        Some(Doubt::of_starts(left_at, receipt.now).continuing(before))
+    }
+}
+
+impl Receipt {
+    /// What the message proves of a task that it lacks.
+    fn absence_of(&self, machine_task: &MachineTask) -> Absence {
+        let MachineTaskState::Ordered { agent_epoch, sequence } = machine_task.state else {
+            return match machine_task.state {
+                MachineTaskState::Assigned => Absence::Unknown,
+                _ => Absence::Lost,
+            };
+        };
+        // A start travels only in the answer to a heartbeat, and the worker drops it after a while
+        // (S3). What was surely written after that shows whether it was carried out.
+        let (answered, left_at) = (MessageNumber { agent_epoch, sequence }, machine_task.since);
+        if self.number <= answered {
+            Absence::Unknown
+        } else if self.after_starts_of.is_some_and(|newest| newest >= answered)
+            || self.evidence.is_after_answer_to(answered, left_at)
+        {
+            Absence::Lost
+        } else {
+            Absence::StartInDoubt(left_at)
+        }
+    }
+}
--- a/crates/core/src/scheduler/heartbeats/mod.rs
+++ b/crates/core/src/scheduler/heartbeats/mod.rs
@@ -1,12 +1,16 @@
 //! Workers' heartbeats: which of them count, and what they prove.
 
+mod absences;
 mod exits;
 mod run_times;
 mod task_status;
 
 use super::{direct_orders, Action, Scheduler};
 use crate::cluster::Cluster;
-use crate::machine::{Machine, MachineTask, MachineTaskState, MessageNumber, TaskAttempt};
+use crate::machine::{
+    Doubt, Evidence, Machine, MachineTaskState, MessageNumber, MessageOrigin, TaskAttempt,
+};
+use absences::Absences;
 use corkfield_wire::worker::{Order, WorkerHeartbeat};
 use corkfield_wire::Term;
 use std::time::{Duration, Instant};
@@ -24,12 +28,20 @@
     Stale,
     /// The worker has seen a higher term than ours.
     HigherTerm(Term),
+    /// It was taken, but our answers may not reach the worker: one more with 200 would only seem to
+    /// renew its lease. A direct order tells.
+    AnswersInDoubt,
 }
 
 /// What of a heartbeat matters to each task that it shows, or lacks.
 struct Receipt {
-    /// False for an answer to direct orders.
-    own_heartbeat: bool,
+    /// How it came.
+    origin: MessageOrigin,
+    /// What proves when it was written.
+    evidence: Evidence,
+    /// The newest answer whose starts it shows, of those that had not been shown before: it was
+    /// written after that answer was taken.
+    after_starts_of: Option<MessageNumber>,
     /// Tasks known of the machine that it does not show.
     absent: Vec<TaskAttempt>,
     /// The number of the message.
@@ -45,9 +57,10 @@
     pub fn on_heartbeat(
         &mut self,
         heartbeat: &WorkerHeartbeat,
-        own_heartbeat: bool,
+        origin: impl Into<MessageOrigin>,
         now: Instant,
     ) -> Verdict {
+        let origin = origin.into();
         if heartbeat.term > self.term {
             return Verdict::HigherTerm(heartbeat.term);
         }
@@ -55,11 +68,10 @@
             return Verdict::Stale;
         }
         let our_term = self.term;
-        let prompt = self.cluster.config.heartbeat_interval.mul_f64(PROMPT_INTERVALS);
         let number = MessageNumber::from(heartbeat);
         let machine = self.machine_of(heartbeat, now);
         if machine.messages.is_outdated(number) {
-            if own_heartbeat {
+            if origin.is_own_heartbeat() {
                 machine.messages.note_outdated_heartbeat(number);
             }
             return Verdict::Stale;
@@ -71,15 +83,47 @@
             self.return_restarted(heartbeat.machine.as_str());
             return Verdict::Stale;
         }
-        let gap = machine.receive(heartbeat, own_heartbeat, now);
+        if heartbeat.term == our_term {
+            machine.exchanges.exposure.note_shown(our_term, number);
+        }
+        let evidence = machine.exchanges.evidence(origin, heartbeat.term, our_term);
+        if machine.may_predate_newest(&absent, &evidence) {
+            machine.doubt = Some(Doubt::of_shown_tasks(now).continuing(machine.doubt));
+            return Verdict::Stale;
+        }
+        let after_starts_of = machine.tasks.newest_start_shown_by(heartbeat);
+        let prompt_gap = None;
+        let receipt =
+            Receipt { origin, evidence, after_starts_of, absent, number, prompt_gap, now };
+        self.take_message(heartbeat, receipt)
+    }
+
+    /// Takes a message that is neither outdated nor of a process before the newest known one.
+    fn take_message(&mut self, heartbeat: &WorkerHeartbeat, mut receipt: Receipt) -> Verdict {
+        let our_term = self.term;
+        let prompt = self.cluster.config.heartbeat_interval.mul_f64(PROMPT_INTERVALS);
+        let machine = self.machine_of(heartbeat, receipt.now);
+        let gap = machine.receive(heartbeat, receipt.origin, &receipt.evidence, receipt.now);
+        receipt.prompt_gap = gap.filter(|gap| *gap <= prompt);
         if machine.update_fence(heartbeat, our_term) {
-            let prompt_gap = gap.filter(|gap| *gap <= prompt);
-            let receipt = Receipt { own_heartbeat, number, absent, prompt_gap, now };
             self.on_fresh_heartbeat(heartbeat, &receipt);
         }
+        if receipt.origin.is_own_heartbeat()
+            && self.withholds_answer(heartbeat.machine.as_str(), receipt.now)
+        {
+            return Verdict::AnswersInDoubt;
+        }
         Verdict::Accept
     }
 
+    /// Whether an answer to the machine would only seem to renew a lease that something rests on.
+    fn withholds_answer(&self, name: &str, now: Instant) -> bool {
+        self.cluster.machines.get(name).is_some_and(|machine| {
+            machine.lease.withholds_answer(now)
+                && (!machine.tasks.is_empty() || self.is_unreconciled(name))
+        })
+    }
+
     /// The machine that a heartbeat is of; one that was not known is known from now on.
     fn machine_of(&mut self, heartbeat: &WorkerHeartbeat, now: Instant) -> &mut Machine {
         let Cluster { machines, machine_types, .. } = &mut self.cluster;
@@ -114,14 +158,9 @@
         let Some(machine) = self.cluster.machines.get_mut(name) else {
             return;
         };
-        let (mut lost, mut start_lost) = (Vec::new(), false);
-        for key in &receipt.absent {
-            let machine_task = machine.tasks.get(key);
-            if let Some(task) = machine_task.filter(|task| receipt.proves_absence_of(task)) {
-                start_lost |= task.is_ordered();
-                lost.push(key.clone());
-            }
-        }
+        let absences = Absences::of(machine, receipt);
+        machine.doubt = absences.doubt(machine.doubt, receipt);
+        let Absences { lost, start_lost, .. } = absences;
         if start_taken || start_lost {
             machine.note_delivery(start_taken);
         }
@@ -152,19 +191,3 @@
         }
     }
 }
-
-impl Receipt {
-    /// Whether a task that this heartbeat lacks is surely not on the machine (S5a).
-    fn proves_absence_of(&self, machine_task: &MachineTask) -> bool {
-        match machine_task.state {
-            MachineTaskState::Assigned => false,
-            // A start travels only in the answer to a heartbeat, and the worker drops it after
-            // a while (S3). Only a later heartbeat of its own shows that it was not carried
-            // out; an answer to direct orders may have been made while it was under way.
-            MachineTaskState::Ordered { agent_epoch, sequence } => {
-                self.own_heartbeat && self.number > MessageNumber { agent_epoch, sequence }
-            }
-            _ => true,
-        }
-    }
-}
--- a/crates/core/src/scheduler/mod.rs
+++ b/crates/core/src/scheduler/mod.rs
@@ -18,7 +18,7 @@
 mod reconciliation;
 mod tick;
 
-pub use action::{Action, DirectOrderTarget};
+pub use action::{Action, DirectOrderTarget, DirectPurpose};
 pub use completion_commit::CompletionCommit;
 pub use heartbeats::Verdict;
 pub use overview::Overview;
--- a/crates/core/src/scheduler/orders.rs
+++ b/crates/core/src/scheduler/orders.rs
@@ -48,14 +48,15 @@
         let Some(machine) = self.cluster.machines.get_mut(name) else {
             return Vec::new();
         };
+        let answered = MessageNumber { agent_epoch, sequence };
         machine.lease.note_answer(self.term, now);
+        machine.exchanges.exposure.note_answer(self.term, answered);
         if !machine.fenced {
             return Vec::new();
         }
         let mut orders = forget_or_mark_stopped(machine, &self.cluster.jobs, &self.unclaimed);
         orders.extend(machine.stops());
         orders.truncate(MAX_ORDERS);
-        let answered = MessageNumber { agent_epoch, sequence };
         let is_newest = machine.messages.newest() == answered;
         if may_start && is_newest && machine.accepts_starts(now, Duration::MAX) {
             let most = MAX_ORDERS - orders.len();
--- a/crates/core/src/scheduler/tick.rs
+++ b/crates/core/src/scheduler/tick.rs
@@ -15,6 +15,7 @@
     /// Everything that only time brings about.
     pub fn tick(&mut self, now: Instant) {
         self.expire_worker_leases(now);
+        self.return_doubtful_machines(now);
         self.take_back_assigned_tasks(now);
         self.tick_jobs(now);
         self.count_running_tasks();
--- a/crates/core/tests/scheduler/machines.rs
+++ b/crates/core/tests/scheduler/machines.rs
@@ -1,8 +1,8 @@
 //! Which heartbeats count, when a machine is known to be gone, and when machines are rented.
 
 use crate::support::{
-    active_task_count, active_tasks, heartbeat, job_record, scheduler, scheduler_with_start_sent,
-    second_job_id, task_status,
+    active_task_count, active_tasks, heartbeat, job_record, over_connection, scheduler,
+    scheduler_with_start_sent, second_job_id, task_status,
 };
 use corkfield_core::{Action, RentalFailure, Scheduler, Verdict};
 use corkfield_wire::cloud::RentRequest;
@@ -16,9 +16,9 @@
     let now = Instant::now();
     let (mut scheduler, attempt) = scheduler_with_start_sent(now);
     let running = task_status(attempt, TaskPhase::Running, None);
-    scheduler.on_heartbeat(&heartbeat(5, 1, vec![running]), true, now);
+    scheduler.on_heartbeat(&heartbeat(5, 1, vec![running]), over_connection(1), now);
     assert_eq!(
-        scheduler.on_heartbeat(&heartbeat(4, 1, Vec::new()), true, now),
+        scheduler.on_heartbeat(&heartbeat(4, 1, Vec::new()), over_connection(1), now),
         Verdict::Stale,
         "S10"
     );
@@ -26,7 +26,7 @@
     // A later agent epoch has none of the tasks of the one before.
     let mut next = heartbeat(1, 1, Vec::new());
     next.agent_epoch = AgentEpoch::new(2);
-    assert_eq!(scheduler.on_heartbeat(&next, true, now), Verdict::Accept);
+    assert_eq!(scheduler.on_heartbeat(&next, over_connection(1), now), Verdict::Accept);
     assert!(active_tasks(&scheduler).is_empty());
 }
 
--- a/crates/core/tests/scheduler/random_faults/driver.rs
+++ b/crates/core/tests/scheduler/random_faults/driver.rs
@@ -1,13 +1,14 @@
 //! Chooses what happens next, and carries it out.
 
 use super::invariants;
+use super::restarts::HeldHeartbeat;
 use super::store::{Store, StoredJob, Write};
 use super::workers::{Exchange, Fate, Worker};
 use crate::support::{config, job_record, machine_type};
-use corkfield_core::{Action, Config, MessageNumber, Scheduler, Verdict};
+use corkfield_core::{Action, Config, DirectPurpose, Scheduler, Verdict};
 use corkfield_wire::records::JobRecord;
 use corkfield_wire::settings::Team;
-use corkfield_wire::worker::{Order, WorkerHeartbeat};
+use corkfield_wire::worker::Order;
 use corkfield_wire::{Incarnation, JobId, MachineName, Priority, Revision, Term};
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
@@ -60,7 +61,7 @@
     cancelled: Vec<JobId>,
     writes: Vec<PendingWrite>,
     /// Heartbeats that are held back on their way; their senders have given them up.
-    pub(super) held_heartbeats: Vec<WorkerHeartbeat>,
+    pub(super) held_heartbeats: Vec<HeldHeartbeat>,
     /// Versions of the jobs' records that the scheduler knew after the step before.
     pub known_versions: BTreeMap<JobId, Revision>,
     term: Term,
@@ -182,12 +183,14 @@
         if !worker.may_send(now) {
             return false;
         }
-        let heartbeat = worker.next_message();
+        let (heartbeat, origin) = (worker.next_message(), worker.origin());
         if self.rng.random_bool(self.held_back) {
-            self.held_heartbeats.push(heartbeat);
+            worker.give_up_exchange();
+            self.held_heartbeats.push(HeldHeartbeat { heartbeat, origin });
             return false;
         }
-        if self.scheduler.on_heartbeat(&heartbeat, true, now) != Verdict::Accept {
+        if self.scheduler.on_heartbeat(&heartbeat, origin, now) != Verdict::Accept {
+            worker.give_up_exchange();
             return false;
         }
         let (agent_epoch, sequence) = (heartbeat.agent_epoch, heartbeat.sequence);
@@ -479,26 +482,31 @@
         let Some(target) = self.scheduler.fence_targets().into_iter().choose(&mut self.rng) else {
             return;
         };
-        self.send_direct_orders(&target.machine, target.agent_epoch, Vec::new());
+        self.send_directly(&target.machine, target.agent_epoch, target.purpose, Vec::new());
     }
 
-    fn send_direct_orders(
+    fn send_directly(
         &mut self,
         machine: &MachineName,
         agent_epoch: corkfield_wire::AgentEpoch,
+        purpose: DirectPurpose,
         orders: Vec<Order>,
     ) {
-        let known: MessageNumber = self.scheduler.newest_message(machine.as_str());
-        let is_lost = self.rng.random_bool(0.2);
         let (now, term) = (self.now, self.scheduler.term());
-        let worker = self.workers.get_mut(machine);
-        match worker.filter(|worker| !is_lost && now >= worker.silent_until) {
-            Some(worker) => {
+        let exchange = self.scheduler.begin_direct_exchange(machine.as_str(), purpose, now);
+        let (is_lost, answer_is_lost) = (self.rng.random_bool(0.1), self.rng.random_bool(0.1));
+        let worker = self.workers.get_mut(machine).filter(|worker| now >= worker.silent_until);
+        let answer = worker.filter(|_| !is_lost).map(|worker| {
+            if purpose == DirectPurpose::Order {
                 worker.take_direct_orders(term, agent_epoch, orders);
-                let answer = worker.next_message();
-                self.scheduler.on_direct_orders_answer(&answer, known, now);
             }
-            None => self.scheduler.direct_orders_unanswered(machine.as_str()),
+            worker.next_message()
+        });
+        match answer.filter(|_| !answer_is_lost) {
+            Some(answer) => {
+                self.scheduler.on_direct_orders_answer(&answer, exchange, now);
+            }
+            None => self.scheduler.direct_exchange_failed(machine.as_str(), exchange),
         }
     }
 
@@ -506,7 +514,7 @@
         for action in self.scheduler.take_actions() {
             match action {
                 Action::Direct { machine, agent_epoch, orders, .. } => {
-                    self.send_direct_orders(&machine, agent_epoch, orders);
+                    self.send_directly(&machine, agent_epoch, DirectPurpose::Order, orders);
                 }
                 Action::Record(machine, record) => {
                     let stored = self.rng.random_bool(0.9);
@@ -535,7 +543,7 @@
         }
         self.writes.retain(|pending| matches!(pending.state, WriteState::Travelling));
         for worker in self.workers.values_mut() {
-            worker.exchange = None;
+            worker.give_up_exchange();
         }
         self.scheduler = new_scheduler(self.term, self.seed);
         self.known_versions.clear();
--- a/crates/core/tests/scheduler/random_faults/restarts.rs
+++ b/crates/core/tests/scheduler/random_faults/restarts.rs
@@ -1,7 +1,8 @@
 //! Workers that are back within an instant, and heartbeats that are held back across that.
 
 use super::driver::Driver;
-use corkfield_core::Verdict;
+use corkfield_core::{MessageOrigin, Verdict};
+use corkfield_wire::worker::WorkerHeartbeat;
 use corkfield_wire::MachineName;
 use rand::Rng;
 
@@ -10,6 +11,12 @@
 /// So many heartbeats that are held back at once at the most: the oldest are lost.
 const MAX_HELD_HEARTBEATS: usize = 24;
 
+/// A heartbeat that is held back on its way; its sender has given it up.
+pub struct HeldHeartbeat {
+    pub heartbeat: WorkerHeartbeat,
+    pub origin: MessageOrigin,
+}
+
 impl Driver {
     /// A machine is back within an instant, with nothing on it.
     pub(super) fn restart_some_worker(&mut self) {
@@ -28,7 +35,9 @@
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&name) else { return };
         for _ in 0..held {
-            self.held_heartbeats.push(worker.next_message());
+            let (heartbeat, origin) = (worker.next_message(), worker.origin());
+            worker.give_up_exchange();
+            self.held_heartbeats.push(HeldHeartbeat { heartbeat, origin });
         }
         worker.restart(now);
         let excess = self.held_heartbeats.len().saturating_sub(MAX_HELD_HEARTBEATS);
@@ -48,8 +57,8 @@
             return;
         }
         let position = self.rng.random_range(0..self.held_heartbeats.len());
-        let heartbeat = self.held_heartbeats.swap_remove(position);
-        if self.scheduler.on_heartbeat(&heartbeat, true, self.now) == Verdict::Accept {
+        let HeldHeartbeat { heartbeat, origin } = self.held_heartbeats.swap_remove(position);
+        if self.scheduler.on_heartbeat(&heartbeat, origin, self.now) == Verdict::Accept {
             let name = heartbeat.machine.as_str();
             let (agent_epoch, sequence) = (heartbeat.agent_epoch, heartbeat.sequence);
             let orders = self.scheduler.orders(name, agent_epoch, sequence, true, self.now);
--- a/crates/core/tests/scheduler/random_faults/workers.rs
+++ b/crates/core/tests/scheduler/random_faults/workers.rs
@@ -1,7 +1,10 @@
 //! Stand-ins for workers: they run tasks, send heartbeats and carry out orders as the protocol
 //! says.
 
-use corkfield_wire::worker::{ExitCause, Order, TaskPhase, TaskStatus, WorkerHeartbeat};
+use corkfield_core::MessageOrigin;
+use corkfield_wire::worker::{
+    ConnectionId, ExitCause, Order, TaskPhase, TaskStatus, WorkerHeartbeat,
+};
 use corkfield_wire::{AgentEpoch, Attempt, JobId, MachineName, TaskId, Term};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -46,6 +49,8 @@
     agent_epoch: AgentEpoch,
     sequence: u64,
     term: Term,
+    /// The number of the connection that its heartbeats go over.
+    connection: u64,
     tasks: BTreeMap<(TaskId, Attempt), Task>,
     renewed_at: Instant,
     /// The heartbeat that it sent last, while it waits for the answer.
@@ -65,6 +70,7 @@
             agent_epoch: AgentEpoch::FIRST,
             sequence: 0,
             term: Term::default(),
+            connection: 1,
             tasks: BTreeMap::new(),
             renewed_at: now,
             exchange: None,
@@ -80,7 +86,19 @@
         (self.sequence, self.term) = (0, Term::default());
         self.tasks.clear();
         self.renewed_at = now;
+        self.give_up_exchange();
+    }
+
+    /// It waits for no answer any more, and closes its connection.
+    pub fn give_up_exchange(&mut self) {
         self.exchange = None;
+        self.connection += 1;
+    }
+
+    /// How its next heartbeat goes.
+    pub fn origin(&self) -> MessageOrigin {
+        let connection = ConnectionId { process: 1, number: self.connection };
+        MessageOrigin::Heartbeat { connection: Some(connection) }
     }
 
     /// Messages that its present process has sent.
@@ -101,7 +119,7 @@
             self.renewed_at = now;
         }
         if self.exchange.is_some_and(|sent| now.duration_since(sent.sent_at) > ANSWER_LIMIT) {
-            self.exchange = None;
+            self.give_up_exchange();
         }
     }
 
--- a/crates/core/tests/scheduler/starts.rs
+++ b/crates/core/tests/scheduler/starts.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{
     active_task_count, active_tasks, claim_job, first_job_id, heartbeat, heartbeat_from,
-    job_record, scheduler, scheduler_with_machines, scheduler_with_start_sent,
-    scheduler_with_task_assigned, task_status,
+    job_record, over_connection, scheduler, scheduler_with_machines, scheduler_with_start_sent,
+    scheduler_with_start_sent_to, scheduler_with_task_assigned, task_status,
 };
 use corkfield_core::{Action, Verdict};
 use corkfield_wire::worker::{ExitCause, Order, TaskPhase, TaskStatus, WorkerHeartbeat};
@@ -13,7 +13,7 @@
 #[test]
 fn only_the_workers_own_next_heartbeat_settles_a_start() {
     let now = Instant::now();
-    let (mut scheduler, attempt) = scheduler_with_start_sent(now);
+    let (mut scheduler, attempt) = scheduler_with_start_sent_to(over_connection(1), now);
     // Made while the answer with the start was still under way.
     scheduler.on_heartbeat(&heartbeat(3, 1, Vec::new()), false, now);
     let placed = active_tasks(&scheduler).get(&0).cloned();
@@ -22,7 +22,7 @@
         Some(attempt),
         "S3: it may still be carried out"
     );
-    scheduler.on_heartbeat(&heartbeat(4, 1, Vec::new()), true, now);
+    scheduler.on_heartbeat(&heartbeat(4, 1, Vec::new()), over_connection(1), now);
     scheduler.run_placement_pass(now);
     let again = active_tasks(&scheduler).get(&0).cloned();
     assert!(again.is_some_and(|placed| placed.attempt > attempt), "attempts never repeat");
--- a/crates/core/tests/scheduler/support.rs
+++ b/crates/core/tests/scheduler/support.rs
@@ -1,11 +1,13 @@
 //! Builders of configurations, records and heartbeats, and schedulers in the states that tests
 //! begin with.
 
-use corkfield_core::{Config, Placed, Scheduler, Verdict};
+use corkfield_core::{Config, MessageOrigin, Placed, Scheduler, Verdict};
 use corkfield_wire::cloud::MachineType;
 use corkfield_wire::records::{JobRecord, MachineRecord};
 use corkfield_wire::settings::Team;
-use corkfield_wire::worker::{ExitCause, Order, TaskPhase, TaskStatus, WorkerHeartbeat};
+use corkfield_wire::worker::{
+    ConnectionId, ExitCause, Order, TaskPhase, TaskStatus, WorkerHeartbeat,
+};
 use corkfield_wire::{
     AgentEpoch, Attempt, Generation, JobId, JobSpec, Priority, Revision, TaskId, TaskSet, Term,
 };
@@ -131,11 +133,21 @@
     scheduler
 }
 
+/// One of the worker's own heartbeats, over a connection with that number.
+pub fn over_connection(number: u64) -> MessageOrigin {
+    MessageOrigin::Heartbeat { connection: Some(ConnectionId { process: 1, number }) }
+}
+
 /// A scheduler that has just sent the start of the only task in the reply to heartbeat 2, and the
 /// attempt of that start.
 pub fn scheduler_with_start_sent(now: Instant) -> (Scheduler, Attempt) {
+    scheduler_with_start_sent_to(true.into(), now)
+}
+
+/// The same for a heartbeat 2 that came in that way.
+pub fn scheduler_with_start_sent_to(origin: MessageOrigin, now: Instant) -> (Scheduler, Attempt) {
     let mut scheduler = scheduler_with_task_assigned(now);
-    assert_eq!(scheduler.on_heartbeat(&heartbeat(2, 1, Vec::new()), true, now), Verdict::Accept);
+    assert_eq!(scheduler.on_heartbeat(&heartbeat(2, 1, Vec::new()), origin, now), Verdict::Accept);
     let orders = scheduler.orders("host-1", AgentEpoch::new(1), 2, true, now);
     let [Order::Start { attempt, .. }] = orders[..] else { panic!("{orders:?}") };
     (scheduler, attempt)
--- a/crates/corkfield/src/leadership/actions.rs
+++ b/crates/corkfield/src/leadership/actions.rs
@@ -3,7 +3,7 @@
 use super::active_leader::ActiveLeader;
 use super::direct_orders::send_direct_orders;
 use super::machine_records::MachineRecordWrite;
-use corkfield_core::{Action, DirectOrderTarget};
+use corkfield_core::{Action, DirectOrderTarget, DirectPurpose};
 
 impl ActiveLeader {
     /// Takes the scheduler's decisions as they come. None of them holds up the next ones.
@@ -26,7 +26,8 @@
                         self.context.leadership.held_answers.answer(machine.as_str());
                     }
                     Action::Direct { machine, addr, agent_epoch, orders } => {
-                        let target = DirectOrderTarget { machine, addr, agent_epoch };
+                        let purpose = DirectPurpose::Order;
+                        let target = DirectOrderTarget { machine, addr, agent_epoch, purpose };
                         let (context, scheduler) = (self.context.clone(), self.scheduler.clone());
                         tokio::task::spawn_local(async move {
                             send_direct_orders(&context, &scheduler, &target, orders).await;
--- a/crates/corkfield/src/leadership/direct_orders.rs
+++ b/crates/corkfield/src/leadership/direct_orders.rs
@@ -3,10 +3,10 @@
 use super::context::LeadershipContext;
 use super::state::SharedScheduler;
 use crate::clock::now;
-use corkfield_core::{DirectOrderTarget, Verdict};
-use corkfield_http::Client;
-use corkfield_wire::worker::{DirectOrders, Order, WorkerHeartbeat, PATH_COMMANDS};
-use corkfield_wire::{AgentEpoch, MachineName};
+use corkfield_core::{DirectOrderTarget, DirectPurpose, Verdict};
+use corkfield_http::{Client, Reply};
+use corkfield_wire::worker::{DirectOrders, Order, WorkerHeartbeat, PATH_COMMANDS, PATH_STATUS};
+use corkfield_wire::{AgentEpoch, MachineName, Term};
 use std::cell::RefCell;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -71,8 +71,18 @@
     Unusable,
 }
 
-/// Sends orders to a machine, and lets the scheduler take up its answer, a heartbeat. What is left
-/// out here goes with the answer to the machine's next heartbeat, or, if it is a fence, soon again.
+/// What is sent straight to a machine, and where.
+struct DirectRequest<'a> {
+    machine: &'a str,
+    addr: SocketAddr,
+    agent_epoch: AgentEpoch,
+    purpose: DirectPurpose,
+    orders: &'a [Order],
+}
+
+/// Sends orders to a machine, or asks it what it holds, and lets the scheduler take up its answer, a
+/// heartbeat. What is left out here goes with the answer to the machine's next heartbeat, or, if it
+/// is a fence or a question, soon again.
 pub(super) async fn send_direct_orders(
     context: &LeadershipContext,
     scheduler: &SharedScheduler,
@@ -86,11 +96,10 @@
         tracing::debug!(machine, "too many direct orders in flight");
         return;
     };
-    let mut agent_epoch = target.agent_epoch;
+    let DirectOrderTarget { mut agent_epoch, purpose, .. } = *target;
     for _ in 0..MAX_AGENT_EPOCHS_TRIED {
-        let term = scheduler.borrow().term();
-        let orders = DirectOrders { term, agent_epoch, orders: orders.clone() };
-        match send_once(context, scheduler, machine, addr, &orders).await {
+        let request = DirectRequest { machine, addr, agent_epoch, purpose, orders: &orders };
+        match send_once(context, scheduler, &request).await {
             DirectOrderOutcome::Answered => break,
             DirectOrderOutcome::OtherAgentEpoch(other) => agent_epoch = other,
             DirectOrderOutcome::Unusable => return,
@@ -99,41 +108,61 @@
     context.leadership.request_pass();
 }
 
+/// Sends a request once; its end is noted with the scheduler whatever it is.
 async fn send_once(
     context: &LeadershipContext,
     scheduler: &SharedScheduler,
-    machine: &str,
-    addr: SocketAddr,
-    orders: &DirectOrders,
+    request: &DirectRequest<'_>,
 ) -> DirectOrderOutcome {
-    let body = serde_json::to_vec(orders).expect("orders are plain structs with string keys");
-    let client = Client::new(context.env.network.clone(), addr, 1, MAX_ANSWER_BYTES);
-    let known = scheduler.borrow().newest_message(machine);
-    let reply = match client.request("POST", PATH_COMMANDS, &body, DIRECT_ORDER_TIMEOUT).await {
-        Ok(reply) => reply,
-        Err(error) => {
-            tracing::debug!(machine, %error, "direct orders not answered");
-            scheduler.borrow_mut().direct_orders_unanswered(machine);
-            return DirectOrderOutcome::Unusable;
-        }
-    };
-    let Ok(heartbeat) = serde_json::from_slice::<WorkerHeartbeat>(&reply.body) else {
+    let DirectRequest { machine, purpose, .. } = *request;
+    let exchange = scheduler.borrow_mut().begin_direct_exchange(machine, purpose, now());
+    let term = scheduler.borrow().term();
+    let Some((reply, heartbeat)) = exchange_once(context, request, term).await else {
+        scheduler.borrow_mut().direct_exchange_failed(machine, exchange);
         return DirectOrderOutcome::Unusable;
     };
-    if heartbeat.machine.as_str() != machine {
-        tracing::debug!(machine, answered_by = %heartbeat.machine, "another machine answered");
-        return DirectOrderOutcome::Unusable;
-    }
-    let verdict = scheduler.borrow_mut().on_direct_orders_answer(&heartbeat, known, now());
+    let verdict = scheduler.borrow_mut().on_direct_orders_answer(&heartbeat, exchange, now());
     if let Verdict::HigherTerm(term) = verdict {
         context.leadership.note_higher_term(term);
         return DirectOrderOutcome::Unusable;
     }
-    if reply.status == STATUS_OTHER_AGENT_EPOCH && heartbeat.agent_epoch != orders.agent_epoch {
+    let refused = reply.status == STATUS_OTHER_AGENT_EPOCH;
+    if refused && heartbeat.agent_epoch != request.agent_epoch {
         return DirectOrderOutcome::OtherAgentEpoch(heartbeat.agent_epoch);
     }
     DirectOrderOutcome::Answered
 }
 
+/// The machine's answer, and the heartbeat in it; none without an answer of that machine.
+async fn exchange_once(
+    context: &LeadershipContext,
+    request: &DirectRequest<'_>,
+    term: Term,
+) -> Option<(Reply, WorkerHeartbeat)> {
+    let DirectRequest { machine, addr, agent_epoch, purpose, orders } = *request;
+    let (method, path, body) = match purpose {
+        DirectPurpose::Inspect => ("GET", PATH_STATUS, Vec::new()),
+        DirectPurpose::Order => {
+            let orders = DirectOrders { term, agent_epoch, orders: orders.to_vec() };
+            let body = serde_json::to_vec(&orders).expect("plain structs with string keys");
+            ("POST", PATH_COMMANDS, body)
+        }
+    };
+    let client = Client::new(context.env.network.clone(), addr, 1, MAX_ANSWER_BYTES);
+    let reply = match client.request(method, path, &body, DIRECT_ORDER_TIMEOUT).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            tracing::debug!(machine, ?purpose, %error, "direct orders not answered");
+            return None;
+        }
+    };
+    let heartbeat: WorkerHeartbeat = serde_json::from_slice(&reply.body).ok()?;
+    if heartbeat.machine.as_str() != machine {
+        tracing::debug!(machine, answered_by = %heartbeat.machine, "another machine answered");
+        return None;
+    }
+    Some((reply, heartbeat))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/corkfield/src/routes.rs
+++ b/crates/corkfield/src/routes.rs
@@ -112,7 +112,7 @@
     pub async fn answer(self: Rc<Self>, request: Request) -> Response {
         let body = &request.body;
         match Route::parse(&request.method, request.path()) {
-            Ok(Route::Heartbeat) => self.workers.answer(body).await,
+            Ok(Route::Heartbeat) => self.workers.answer(body, request.connection).await,
             Ok(Route::Ready) => self.ready(),
             Ok(Route::Overview) => leadership::overview(&self.env, &self.replica, &self.leadership),
             Ok(Route::Release(id)) => self.users.release(&id).await,
--- a/crates/corkfield/src/workers.rs
+++ b/crates/corkfield/src/workers.rs
@@ -12,10 +12,12 @@
 use crate::replica::StoreReplica;
 use crate::responses::{error, json, retry_later};
 use crate::session_lease::SessionLease;
-use corkfield_core::{Scheduler, Verdict};
+use corkfield_core::{MessageOrigin, Scheduler, Verdict};
 use corkfield_http::{Connections, Response};
 use corkfield_wire::records::JobRecord;
-use corkfield_wire::worker::{HeartbeatReply, Order, Redirect, TaskId, WorkerHeartbeat};
+use corkfield_wire::worker::{
+    ConnectionId, HeartbeatReply, Order, Redirect, RelayedHeartbeat, TaskId, WorkerHeartbeat,
+};
 use corkfield_wire::{Attempt, ControllerName, Generation};
 use redirects::Route;
 use std::cell::RefCell;
@@ -50,36 +52,41 @@
 }
 
 impl WorkerHeartbeats {
-    /// The answer to a heartbeat that a worker sent to this controller.
-    pub async fn answer(&self, body: &[u8]) -> Response {
+    /// The answer to a heartbeat that a worker sent to this controller, over the connection with
+    /// that number.
+    pub async fn answer(&self, body: &[u8], connection: u64) -> Response {
         let heartbeat: WorkerHeartbeat = match serde_json::from_slice(body) {
             Ok(heartbeat) => heartbeat,
             Err(reason) => return error(400, &reason.to_string()),
         };
+        let connection = Some(ConnectionId { process: self.env.process, number: connection });
+        let received = RelayedHeartbeat { heartbeat, connection };
         if self.leadership.is_leading() && !self.leadership.is_ready() {
             let _ = tokio::time::timeout(FAILOVER_WAIT, self.leadership.until_ready()).await;
         }
         if self.leadership.is_ready() {
-            self.answer_as_leader(&heartbeat).await
+            self.answer_as_leader(&received).await
         } else {
-            self.answer_as_standby(&heartbeat, body).await
+            self.answer_as_standby(&received).await
         }
     }
 
     /// The answer to a heartbeat that another controller relayed to this one, as the leader.
     pub async fn answer_relayed(&self, body: &[u8]) -> Response {
         match serde_json::from_slice(body) {
-            Ok(heartbeat) if self.leadership.is_ready() => self.answer_as_leader(&heartbeat).await,
+            Ok(received) if self.leadership.is_ready() => self.answer_as_leader(&received).await,
             _ => retry_later("not the planner"),
         }
     }
 
     /// Redirects the worker to the leader, or relays its heartbeat if it was there in vain.
-    async fn answer_as_standby(&self, heartbeat: &WorkerHeartbeat, body: &[u8]) -> Response {
+    async fn answer_as_standby(&self, received: &RelayedHeartbeat) -> Response {
+        let heartbeat = &received.heartbeat;
         let leader = self.other_leader();
         if let Some(leader) = &leader {
             if self.redirected.record_visit(heartbeat.machine.as_str()) == Route::Relay {
-                if let Some(response) = self.links.relay(leader.as_str(), body).await {
+                let body = serde_json::to_vec(received).expect("plain structs with string keys");
+                if let Some(response) = self.links.relay(leader.as_str(), &body).await {
                     return self.check_relayed(response);
                 }
             }
@@ -110,11 +117,12 @@
         json(200, &reply)
     }
 
-    async fn answer_as_leader(&self, heartbeat: &WorkerHeartbeat) -> Response {
+    async fn answer_as_leader(&self, received: &RelayedHeartbeat) -> Response {
+        let heartbeat = &received.heartbeat;
         let Some(scheduler) = self.leadership.scheduler() else {
             return json(421, &Redirect { report_to: None });
         };
-        if let Some(refusal) = self.refuse(&scheduler, heartbeat) {
+        if let Some(refusal) = self.refuse(&scheduler, received) {
             return refusal;
         }
         self.leadership.note_heartbeat();
@@ -140,8 +148,9 @@
     fn refuse(
         &self,
         scheduler: &RefCell<Scheduler>,
-        heartbeat: &WorkerHeartbeat,
+        received: &RelayedHeartbeat,
     ) -> Option<Response> {
+        let RelayedHeartbeat { heartbeat, connection } = received;
         let WorkerHeartbeat { machine, sequence, .. } = heartbeat;
         // S6: without fresh state a cancellation may have been missed; the machines' leases have
         // to run out while there is time.
@@ -149,7 +158,8 @@
             tracing::debug!(%machine, "no fresh state to answer from");
             return Some(retry_later("no fresh state"));
         }
-        let verdict = scheduler.borrow_mut().on_heartbeat(heartbeat, true, now());
+        let origin = MessageOrigin::Heartbeat { connection: *connection };
+        let verdict = scheduler.borrow_mut().on_heartbeat(heartbeat, origin, now());
         if verdict != Verdict::Accept {
             let agent_epoch = heartbeat.agent_epoch.get();
             tracing::debug!(%machine, agent_epoch, sequence, ?verdict, "heartbeat not accepted");
@@ -161,6 +171,7 @@
                 self.leadership.note_higher_term(term);
                 Some(retry_later("a higher term is needed"))
             }
+            Verdict::AnswersInDoubt => Some(retry_later("answers may not arrive")),
         }
     }
 
--- a/crates/fakes/src/worker/heartbeats.rs
+++ b/crates/fakes/src/worker/heartbeats.rs
@@ -23,26 +23,34 @@
 impl FakeWorker {
     /// Heartbeats until the machine is gone.
     pub(super) async fn send_heartbeats(self: Rc<Self>, network: Rc<dyn Network>) {
-        let clients: Vec<Client> = self
-            .settings
-            .controllers
-            .iter()
-            .map(|(_, addr)| Client::new(network.clone(), *addr, MAX_CONNECTIONS, MAX_REPLY_BYTES))
-            .collect();
         let mut controller = 0;
+        let mut client = self.client(controller, &network);
         while !self.dead.get() {
             self.wait_while_hung().await;
             self.check_lease();
-            if self.sends_nothing.get() {
-                controller = self.try_next(controller).await;
-                continue;
+            let next = if self.sends_nothing.get() {
+                Err(self.try_next(controller).await)
+            } else {
+                self.exchange(&client, controller).await
+            };
+            // A worker keeps its connection only while it stays with its controller.
+            if let Err(next) = next {
+                controller = next;
+                client = self.client(controller, &network);
             }
-            controller = self.exchange(&clients[controller], controller).await;
         }
     }
 
-    /// Sends one heartbeat and takes its reply; returns the controller for the next one.
-    async fn exchange(&self, client: &Client, controller: usize) -> usize {
+    /// A client without connections yet.
+    fn client(&self, controller: usize, network: &Rc<dyn Network>) -> Client {
+        let (_, addr) = self.settings.controllers[controller];
+        Client::new(network.clone(), addr, MAX_CONNECTIONS, MAX_REPLY_BYTES)
+    }
+
+    /// Sends one heartbeat and takes its reply; if it can't stay with its controller and on its
+    /// connection, returns the controller for the next heartbeat as an error.
+    async fn exchange(&self, client: &Client, controller: usize) -> Result<(), usize> {
+        let process = self.process.get();
         let heartbeat = self.next_heartbeat();
         let sent = now();
         let body = serde_json::to_vec(&heartbeat).unwrap_or_default();
@@ -53,21 +61,25 @@
         }
         self.wait_while_hung().await;
         self.check_lease();
+        if process != self.process.get() {
+            // The process that waited for the answer is gone, and its connection with it.
+            return Err(controller);
+        }
         match answer {
             Ok(reply) if reply.status == 200 && now() < sent + REPLY_LIMIT => {
                 let reply = serde_json::from_slice::<HeartbeatReply>(&reply.body);
-                let Ok(reply) = reply else { return controller };
+                let Ok(reply) = reply else { return Ok(()) };
                 self.take_reply(reply, heartbeat.agent_epoch, sent);
                 self.wait_for_next_heartbeat().await;
-                controller
+                Ok(())
             }
             Ok(reply) if reply.status == MISDIRECTED => {
                 match self.redirect_target(&reply.body).filter(|next| *next != controller) {
-                    Some(next) => next,
-                    None => self.try_next(controller).await,
+                    Some(next) => Err(next),
+                    None => Err(self.try_next(controller).await),
                 }
             }
-            _ => self.try_next(controller).await,
+            _ => Err(self.try_next(controller).await),
         }
     }
 
--- a/crates/fakes/src/worker/mod.rs
+++ b/crates/fakes/src/worker/mod.rs
@@ -101,6 +101,8 @@
     /// Direct orders are not answered, and executed once after this many seconds.
     pub command_delay_s: Cell<Option<f64>>,
     delayed_commands: Cell<u32>,
+    /// Counts its processes: one more with each restart.
+    process: Cell<u32>,
     sent_heartbeats: RefCell<VecDeque<Vec<u8>>>,
     undelivered_starts: Cell<u32>,
 }
@@ -126,6 +128,7 @@
             sends_nothing: Cell::new(false),
             command_delay_s: Cell::new(None),
             delayed_commands: Cell::new(0),
+            process: Cell::new(0),
             sent_heartbeats: RefCell::default(),
             undelivered_starts: Cell::new(0),
         });
@@ -163,6 +166,7 @@
         let mut state = self.state.borrow_mut();
         (state.agent_epoch, state.sequence, state.term) = (AgentEpoch::FIRST, 0, Term::default());
         state.renewed = now();
+        self.process.set(self.process.get() + 1);
         self.changed.notify_one();
     }
 
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -80,7 +80,8 @@
         F: Future<Output = Response>,
     {
         let limits = self.slot.limits();
-        let reading = read_request(&mut self.stream, &mut self.buffer, limits.max_body);
+        let number = self.slot.number();
+        let reading = read_request(&mut self.stream, &mut self.buffer, limits.max_body, number);
         match timeout(limits.request_timeout, reading).await {
             Ok(Ok(ReceivedRequest { request, close })) => {
                 if !self.slot.admits(&request) {
--- a/crates/http/src/server/connections.rs
+++ b/crates/http/src/server/connections.rs
@@ -10,6 +10,8 @@
 pub struct Connections {
     limits: Limits,
     open: Cell<usize>,
+    /// Connections that were ever open.
+    accepted: Cell<u64>,
     /// Of these, connections of clients that ask for other paths than [`Limits::kept_for`].
     others: Cell<usize>,
 }
@@ -40,6 +42,8 @@
 /// A connection's place among those that are open; free again when it is dropped.
 pub(super) struct ConnectionSlot {
     connections: Rc<Connections>,
+    /// Its number among those that were ever open.
+    number: u64,
     /// It counts among those that are not kept for a path.
     is_other: bool,
 }
@@ -48,7 +52,14 @@
     /// Counts one more open connection.
     pub fn take(connections: Rc<Connections>) -> Self {
         connections.open.set(connections.open.get() + 1);
-        Self { connections, is_other: false }
+        let number = connections.accepted.get() + 1;
+        connections.accepted.set(number);
+        Self { connections, number, is_other: false }
+    }
+
+    /// The connection's number among those that were ever open.
+    pub fn number(&self) -> u64 {
+        self.number
     }
 
     /// The limits of the server.
--- a/crates/http/src/server/request.rs
+++ b/crates/http/src/server/request.rs
@@ -15,6 +15,9 @@
     pub target: String,
     /// Its body.
     pub body: Vec<u8>,
+    /// The number of the connection that it came over, among those that the server has accepted.
+    /// Requests of one connection are served one after the other.
+    pub connection: u64,
 }
 
 impl Request {
@@ -37,12 +40,13 @@
     framing: Framing,
 }
 
-/// Takes a request off the front of `buffer`, reading what is missing. Its body may have up to
-/// `max_body` bytes.
+/// Takes a request off the front of `buffer`, reading what is missing from the connection with
+/// that number. Its body may have up to `max_body` bytes.
 pub(super) async fn read_request(
     stream: &mut Stream,
     buffer: &mut Vec<u8>,
     max_body: usize,
+    connection: u64,
 ) -> Result<ReceivedRequest, ReadError> {
     let RequestHead { method, target, framing } =
         message::read_head(stream, buffer, parse_head).await?;
@@ -52,7 +56,7 @@
     // A request without a length has no body.
     let framing = Framing { length: framing.length.or(Some(0)), ..framing };
     let body = message::read_body(stream, buffer, framing, max_body).await?;
-    let request = Request { method, target, body };
+    let request = Request { method, target, body, connection };
     Ok(ReceivedRequest { request, close: framing.close })
 }
 
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -146,6 +146,28 @@
     pub tasks: Vec<TaskStatus>,
 }
 
+/// A connection over which a worker's heartbeats come to a controller. No two are the same while a
+/// leader leads, and each is of one process of one worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConnectionId {
+    /// The controller's process that accepted it.
+    pub process: u64,
+    /// Its number among those that the process has accepted.
+    pub number: u64,
+}
+
+/// A worker's heartbeat as one controller relays it to another: as it came, and over which
+/// connection. A controller that does not know the field takes the heartbeat alone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedHeartbeat {
+    /// The heartbeat.
+    #[serde(flatten)]
+    pub heartbeat: WorkerHeartbeat,
+    /// The connection that the worker sent it over; none from a controller that does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connection: Option<ConnectionId>,
+}
+
 /// An order to a worker (`verb`). Each may be repeated, but a start after a forget starts the
 /// task again.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
