Fixed: a task that was done went on, or hid one that waits, if its job was claimed later

Test a_task_reported_as_done_and_as_running_before_its_claim_is_done_and_stopped failed before.

Callers saw a done task run on; its job counted it both as done and as placed, so one other task was not placed until then.

Cause: tasks that machines reported before the claim were taken up machine by machine; one found running on the first was placed before the result on the second was seen, or although it was.

Results are taken up first; what is done, or placed already, is stopped.

--- a/crates/core/src/scheduler/claims.rs
+++ b/crates/core/src/scheduler/claims.rs
@@ -66,17 +66,29 @@
         self.cluster.jobs.insert(id, job);
     }
 
-    /// Tasks that fenced machines reported before the claim are taken up now.
+    /// Tasks that fenced machines reported before the claim are taken up now: results first, so that
+    /// nothing goes on of a task that is done.
     fn adopt_reported_tasks(&mut self, job: &mut Job) {
         let id = job.spec().id.clone();
+        for machine in self.cluster.machines.values() {
+            let tasks = machine.tasks.iter().filter(|(key, _)| key.task.job == id);
+            for (key, machine_task) in tasks {
+                if machine_task.state == MachineTaskState::Done {
+                    job.finish(key.task.index);
+                }
+            }
+        }
         for machine in self.cluster.machines.values_mut() {
             let tasks = machine.tasks.iter_mut().filter(|(key, _)| key.task.job == id);
             for (key, machine_task) in tasks {
-                let index = key.task.index;
                 machine_task.belongs_to(job.spec(), job.team);
-                if machine_task.state == MachineTaskState::Done {
-                    job.finish(index);
-                } else if machine_task.takes_room() && !job.active().contains_key(&index) {
+                let index = key.task.index;
+                if !machine_task.takes_room() {
+                    continue;
+                }
+                if job.finished().contains(index) || job.active().contains_key(&index) {
+                    machine_task.stop_at_once();
+                } else {
                     machine_task.let_run();
                     job.place(index, machine.name.as_str(), key.attempt);
                 }
--- a/crates/core/tests/scheduler/restarts.rs
+++ b/crates/core/tests/scheduler/restarts.rs
@@ -2,12 +2,14 @@
 //! former process are held back.
 
 use crate::support::{
-    active_task_count, active_tasks, heartbeat, heartbeat_from, job_record, over_connection,
-    scheduler, scheduler_with_start_sent, scheduler_with_start_sent_to, task_status,
+    active_task_count, active_tasks, first_job_id, heartbeat, heartbeat_from, job_record,
+    over_connection, scheduler, scheduler_with_start_sent, scheduler_with_start_sent_to,
+    task_status,
 };
 use corkfield_core::{DirectPurpose, MachineState, Scheduler, Verdict};
 use corkfield_wire::worker::{ExitCause, Order, TaskPhase, TaskStatus, WorkerHeartbeat};
 use corkfield_wire::{AgentEpoch, Attempt, Revision, TaskSet};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 /// A scheduler of two machines with a job of one task. `host-1` sent its first heartbeat, went on
@@ -254,3 +256,26 @@
     assert_eq!(active_task_count(&scheduler), 0);
     assert!(place_after_pass(&mut scheduler, now).is_some_and(|again| again > attempt));
 }
+
+/// A new leader learns that a task runs on one machine, from a heartbeat that was held back, and is
+/// done on another, before it has claimed the job: whichever it looks at first, nothing of the task
+/// goes on. It was placed as running, which also hid one other task that waits.
+#[test]
+fn a_task_reported_as_done_and_as_running_before_its_claim_is_done_and_stopped() {
+    for (running_on, done_on) in [("host-1", "host-2"), ("host-2", "host-1")] {
+        let now = Instant::now();
+        let mut scheduler = scheduler(1);
+        scheduler.set_unclaimed(BTreeSet::from([first_job_id()]));
+        let (first, second) = (Attempt::new(1), Attempt::new(2));
+        let done = task_status(second, TaskPhase::Exited, Some(ExitCause::Done));
+        scheduler.on_heartbeat(&heartbeat_from(running_on, 1, vec![running(first)]), true, now);
+        scheduler.on_heartbeat(&heartbeat_from(done_on, 1, vec![done]), true, now);
+        let record = job_record(2, 2);
+        let finished = TaskSet::default();
+        scheduler.on_job_claimed(record, finished, Revision::new(5), Duration::ZERO, now);
+        assert_eq!(active_task_count(&scheduler), 0, "running on {running_on}");
+        assert_eq!(scheduler.job(&first_job_id()).expect("claimed").waiting(), 1);
+        let orders = scheduler.orders(running_on, AgentEpoch::FIRST, 1, false, now);
+        assert!(matches!(orders[..], [Order::Stop { .. }]), "{orders:?}");
+    }
+}
