--- a/crates/corkfield/tests/scenarios/main.rs
+++ b/crates/corkfield/tests/scenarios/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod combined_faults;
 mod fleet;
+mod held_back_heartbeats;
 mod jobs;
 mod leadership;
 mod machines;
--- a/crates/fakes/src/worker/execution.rs
+++ b/crates/fakes/src/worker/execution.rs
@@ -9,8 +9,6 @@
 
 /// How often tasks are looked at.
 const TASK_CHECK: Duration = Duration::from_millis(50);
-/// How long it takes until a task has its image.
-const FETCH: Duration = Duration::from_millis(200);
 /// How long a task runs until it fails, in seconds.
 const RUN_UNTIL_FAILURE_S: f64 = 0.2;
 /// How long a task of an unknown job runs, in seconds.
@@ -114,7 +112,8 @@
             Some(_) => None,
         };
         let phase = if cause.is_some() { TaskPhase::Exited } else { TaskPhase::Fetching };
-        state.tasks.insert(task, Task { attempt, phase, cause, until: now() + FETCH });
+        let until = now() + self.image_fetch.get();
+        state.tasks.insert(task, Task { attempt, phase, cause, until });
     }
 
     fn used_cpus(&self, state: &WorkerState) -> f64 {
--- a/crates/fakes/src/worker/heartbeats.rs
+++ b/crates/fakes/src/worker/heartbeats.rs
@@ -54,6 +54,11 @@
         let heartbeat = self.next_heartbeat();
         let sent = now();
         let body = serde_json::to_vec(&heartbeat).unwrap_or_default();
+        if self.heartbeats_held_back.get() {
+            self.keep_sent(body);
+            sleep(REPLY_LIMIT.as_secs_f64()).await;
+            return Err(self.try_next(controller).await);
+        }
         let mut answer = client.request("POST", PATH_HEARTBEAT, &body, REPLY_LIMIT).await;
         self.keep_sent(body);
         if self.receives_nothing.get() {
--- a/crates/fakes/src/worker/mod.rs
+++ b/crates/fakes/src/worker/mod.rs
@@ -20,6 +20,9 @@
 /// How many of its heartbeats a worker keeps for copies that come late.
 const KEPT_HEARTBEATS: usize = 64;
 
+/// How long a task waits for its image unless a test sets another time.
+const DEFAULT_IMAGE_FETCH: Duration = Duration::from_millis(200);
+
 /// What a worker is started with.
 #[derive(Debug, Clone)]
 pub struct WorkerSettings {
@@ -98,6 +101,10 @@
     pub receives_nothing: Cell<bool>,
     /// It reaches no controller, while direct orders reach it.
     pub sends_nothing: Cell<bool>,
+    /// Its heartbeats are held back on their way: they are kept, and it gives them up one by one.
+    pub heartbeats_held_back: Cell<bool>,
+    /// How long a task waits for its image.
+    pub image_fetch: Cell<Duration>,
     /// Direct orders are not answered, and executed once after this many seconds.
     pub command_delay_s: Cell<Option<f64>>,
     delayed_commands: Cell<u32>,
@@ -126,6 +133,8 @@
             fails_all_tasks: Cell::new(false),
             receives_nothing: Cell::new(false),
             sends_nothing: Cell::new(false),
+            heartbeats_held_back: Cell::new(false),
+            image_fetch: Cell::new(DEFAULT_IMAGE_FETCH),
             command_delay_s: Cell::new(None),
             delayed_commands: Cell::new(0),
             process: Cell::new(0),
@@ -155,6 +164,16 @@
         self.sent_heartbeats.borrow().iter().cloned().collect()
     }
 
+    /// The highest term that it has seen.
+    pub fn term(&self) -> Term {
+        self.state.borrow().term
+    }
+
+    /// Whether any task is on it, be it only fetching its image.
+    pub fn holds_tasks(&self) -> bool {
+        !self.state.borrow().tasks.is_empty()
+    }
+
     /// Starts in replies that did not reach it.
     pub fn undelivered_starts(&self) -> u32 {
         self.undelivered_starts.get()
