Tests of leases around a failover: an earlier leader's answers, a heartbeat that was held back

a_held_back_heartbeat_without_our_term_shortens_no_lease fails if such a heartbeat takes back the renewal of the newest answer, as it did.

--- a/crates/core/tests/scheduler/failover.rs
+++ b/crates/core/tests/scheduler/failover.rs
@@ -132,6 +132,25 @@
     assert!(scheduler.is_reconciled(), "the answer limit and a lease have passed");
 }
 
+/// The answer of a new leader was lost, and the machine went back to the one before, which may answer
+/// for a while yet: until the machine shows the new term, its lease may be renewed by either.
+#[test]
+fn an_earlier_leaders_answers_renew_a_lease_until_the_machine_shows_the_new_term() {
+    let start = Instant::now();
+    let mut scheduler = scheduler(7);
+    scheduler.recorded_machine("host-1", &machine_record(), Duration::ZERO, start);
+    scheduler.on_heartbeat(&heartbeat(2, 6, Vec::new()), true, start);
+    scheduler.orders("host-1", AgentEpoch::FIRST, 2, true, start);
+    let renewed_until = config().answer_limit;
+    for (after, is_over) in [
+        (config().lease_expiry_after() + Duration::from_secs(1), false),
+        (renewed_until + config().lease_expiry_after() + Duration::from_secs(1), true),
+    ] {
+        scheduler.tick(start + after);
+        assert_eq!(scheduler.is_reconciled(), is_over, "after {after:?}");
+    }
+}
+
 #[test]
 fn a_limit_counts_all_that_silent_machines_may_hold_and_no_more() {
     let now = Instant::now();
--- a/crates/core/tests/scheduler/restarts.rs
+++ b/crates/core/tests/scheduler/restarts.rs
@@ -2,7 +2,7 @@
 //! former process are held back.
 
 use crate::support::{
-    active_task_count, active_tasks, first_job_id, heartbeat, heartbeat_from, job_record,
+    active_task_count, active_tasks, config, first_job_id, heartbeat, heartbeat_from, job_record,
     over_connection, scheduler, scheduler_with_start_sent, scheduler_with_start_sent_to,
     task_status,
 };
@@ -257,6 +257,29 @@
     assert!(place_after_pass(&mut scheduler, now).is_some_and(|again| again > attempt));
 }
 
+/// A heartbeat without our term that comes after an answer under it may have been held back from
+/// before: it does not show that the answer renewed no lease, and what the answer started runs on.
+#[test]
+fn a_held_back_heartbeat_without_our_term_shortens_no_lease() {
+    let start = Instant::now();
+    let answered = start + Duration::from_secs(5);
+    let mut scheduler = scheduler(7);
+    scheduler.on_heartbeat(&heartbeat(1, 0, Vec::new()), true, start);
+    scheduler.orders("host-1", AgentEpoch::FIRST, 1, true, start);
+    scheduler.on_machine_record_written("host-1", true);
+    let record = job_record(1, 1);
+    scheduler.on_job_claimed(record, TaskSet::default(), Revision::new(5), Duration::ZERO, start);
+    scheduler.on_heartbeat(&heartbeat(2, 0, Vec::new()), true, answered);
+    scheduler.run_placement_pass(answered);
+    let orders = scheduler.orders("host-1", AgentEpoch::FIRST, 2, true, answered);
+    let [Order::Start { attempt, .. }] = orders[..] else { panic!("{orders:?}") };
+    let held_back = heartbeat(4, 0, Vec::new());
+    assert_eq!(scheduler.on_heartbeat(&held_back, true, answered), Verdict::AnswersInDoubt);
+    let before_its_lease_ends = answered + config().worker_lease;
+    scheduler.tick(before_its_lease_ends);
+    assert_eq!(place_after_pass(&mut scheduler, before_its_lease_ends), Some(attempt));
+}
+
 /// A new leader learns that a task runs on one machine, from a heartbeat that was held back, and is
 /// done on another, before it has claimed the job: whichever it looks at first, nothing of the task
 /// goes on. It was placed as running, which also hid one other task that waits.
