--- a/crates/core/tests/scheduler/random_faults/driver.rs
+++ b/crates/core/tests/scheduler/random_faults/driver.rs
@@ -1,11 +1,13 @@
 //! Chooses what happens next, and carries it out.
 
 use super::invariants;
+use super::machines::MAX_MACHINES;
 use super::restarts::HeldHeartbeat;
-use super::store::{Store, StoredJob, Write};
+use super::store::Store;
 use super::workers::{Exchange, Fate, Worker};
+use super::writes::{PendingWrite, WriteState};
 use crate::support::{config, job_record, machine_type};
-use corkfield_core::{Action, Config, DirectPurpose, Scheduler, Verdict};
+use corkfield_core::{Config, Scheduler, Verdict};
 use corkfield_wire::records::JobRecord;
 use corkfield_wire::settings::Team;
 use corkfield_wire::worker::Order;
@@ -18,37 +20,15 @@
 
 /// CPUs that the team with a limit may use.
 pub const CPU_LIMIT: f64 = 6.0;
-/// A job is dead-lettered after so many claims.
-const CLAIM_LIMIT: u32 = 4;
 /// The part of the heartbeats that are held back while there are troubles.
 const HELD_BACK: f64 = 0.15;
-/// So many machines at the most.
-const MAX_MACHINES: usize = 6;
 /// So many unfinished jobs at the most.
 const MAX_JOBS: usize = 6;
-/// So many completion commits under way at the most.
-const MAX_COMMITS: usize = 6;
 /// How long the rest may take once all troubles are over.
 const TIME_TO_FINISH: Duration = Duration::from_secs(600);
 /// A turn of that time.
 const FINISH_TURN: Duration = Duration::from_millis(500);
 
-/// What becomes of a write to the store.
-enum WriteState {
-    /// Not carried out yet.
-    Travelling,
-    /// Carried out at that version, or refused; the answer is under way.
-    Answering(Option<Revision>),
-}
-
-/// A write that the leader has not seen answered.
-struct PendingWrite {
-    write: Write,
-    state: WriteState,
-    /// Nobody waits for its answer any more.
-    given_up: bool,
-}
-
 /// The scheduler, and all that it deals with.
 pub struct Driver {
     seed: u64,
@@ -57,15 +37,15 @@
     pub scheduler: Scheduler,
     pub store: Store,
     pub workers: BTreeMap<MachineName, Worker>,
-    fates: BTreeMap<JobId, Fate>,
+    pub(super) fates: BTreeMap<JobId, Fate>,
     cancelled: Vec<JobId>,
-    writes: Vec<PendingWrite>,
+    pub(super) writes: Vec<PendingWrite>,
     /// Heartbeats that are held back on their way; their senders have given them up.
     pub(super) held_heartbeats: Vec<HeldHeartbeat>,
     /// Versions of the jobs' records that the scheduler knew after the step before.
     pub known_versions: BTreeMap<JobId, Revision>,
     term: Term,
-    machines_started: u32,
+    pub(super) machines_started: u32,
     jobs_submitted: u32,
     /// The part of the heartbeats that are held back.
     held_back: f64,
@@ -147,7 +127,7 @@
         self.check();
     }
 
-    fn check(&mut self) {
+    pub(super) fn check(&mut self) {
         if let Err(broken) = invariants::check(self) {
             panic!("seed {}: {broken}", self.seed);
         }
@@ -155,7 +135,7 @@
         self.known_versions = jobs.map(|(id, job)| (id.clone(), job.version)).collect();
     }
 
-    fn owner(&self) -> Incarnation {
+    pub(super) fn owner(&self) -> Incarnation {
         Incarnation::from(format!("leader-{}", self.term).as_str())
     }
 
@@ -163,7 +143,7 @@
         self.workers.keys().choose(&mut self.rng).cloned()
     }
 
-    fn fate(fates: &BTreeMap<JobId, Fate>, id: &JobId) -> Fate {
+    pub(super) fn fate(fates: &BTreeMap<JobId, Fate>, id: &JobId) -> Fate {
         fates.get(id).copied().unwrap_or(Fate::Unknown)
     }
 
@@ -247,7 +227,7 @@
         self.advance_clock(by);
     }
 
-    fn advance_clock(&mut self, by: Duration) {
+    pub(super) fn advance_clock(&mut self, by: Duration) {
         self.now += by;
         for worker in self.workers.values_mut() {
             worker.pass_time(self.now);
@@ -255,143 +235,6 @@
         self.scheduler.tick(self.now);
     }
 
-    /// The leader looks through the job records, and claims one that is due.
-    fn begin_claim(&mut self) {
-        self.close_what_is_over();
-        let claims_under_way =
-            self.writes.iter().any(|w| matches!(w.write, Write::Claim(_)) && !w.given_up);
-        if claims_under_way {
-            return;
-        }
-        let due = self.due_jobs();
-        let Some(id) = due.into_iter().choose(&mut self.rng) else { return };
-        let starts_soon =
-            self.scheduler.may_start_soon(&self.store.jobs[&id].record.spec, self.now);
-        if let Some(write) = self.store.claim_of(&id, &self.owner(), starts_soon, CLAIM_LIMIT) {
-            self.writes.push(PendingWrite {
-                write,
-                state: WriteState::Travelling,
-                given_up: false,
-            });
-        }
-    }
-
-    /// Closes what the store no longer holds, and says what is not claimed yet.
-    fn close_what_is_over(&mut self) {
-        let Self { scheduler, store, .. } = self;
-        scheduler.close_all_but(|id| store.jobs.contains_key(id));
-        let unclaimed = store.jobs.keys().filter(|id| scheduler.job(id).is_none()).cloned();
-        let unclaimed = unclaimed.collect();
-        scheduler.set_unclaimed(unclaimed);
-    }
-
-    fn due_jobs(&self) -> Vec<JobId> {
-        let is_due = |(_, stored): &(&JobId, &StoredJob)| {
-            self.scheduler.needs_claim(&stored.record, stored.version)
-        };
-        self.store.jobs.iter().filter(is_due).map(|(id, _)| id.clone()).collect()
-    }
-
-    fn begin_commits(&mut self) {
-        let under_way = self.writes.iter().filter(|w| matches!(w.write, Write::Commit(_))).count();
-        let most = MAX_COMMITS.saturating_sub(under_way);
-        for commit in self.scheduler.due_completion_commits(most, self.now) {
-            let write = Write::Commit(Box::new(commit));
-            self.writes.push(PendingWrite {
-                write,
-                state: WriteState::Travelling,
-                given_up: false,
-            });
-        }
-    }
-
-    /// A write is carried out, answered, or goes unanswered: in any order.
-    fn advance_some_write(&mut self) {
-        if self.writes.is_empty() {
-            return;
-        }
-        let position = self.rng.random_range(0..self.writes.len());
-        let pending = &mut self.writes[position];
-        match pending.state {
-            WriteState::Travelling => {
-                let loses_answer = !pending.given_up && self.rng.random_bool(0.15);
-                if loses_answer && self.rng.random_bool(0.5) {
-                    // Unanswered, and carried out later.
-                    pending.given_up = true;
-                    let write = pending.write.clone();
-                    self.find_out(&write);
-                    return;
-                }
-                let version = self.store.apply(&pending.write);
-                pending.state = WriteState::Answering(version);
-                if pending.given_up || loses_answer {
-                    let given_up = pending.given_up;
-                    let write = self.writes.swap_remove(position).write;
-                    if !given_up {
-                        self.find_out(&write);
-                    }
-                }
-            }
-            WriteState::Answering(version) => {
-                let write = self.writes.swap_remove(position).write;
-                self.take_write_answer(&write, version);
-            }
-        }
-    }
-
-    fn take_write_answer(&mut self, write: &Write, version: Option<Revision>) {
-        match (write, version) {
-            (Write::Claim(claim), Some(version)) => self.take_up(claim.record.clone(), version),
-            (Write::Claim(_), None) => {}
-            (Write::Commit(commit), Some(version)) => {
-                self.scheduler.completion_committed(commit, version);
-            }
-            (Write::Commit(_), None) => self.find_out(write),
-        }
-    }
-
-    /// Reads what became of a write that was refused or not answered.
-    fn find_out(&mut self, write: &Write) {
-        let owner = self.owner();
-        match write {
-            Write::Claim(claim) => {
-                let Some(found) = self.store.jobs.get(&claim.record.spec.id).cloned() else {
-                    return;
-                };
-                let is_ours = found.record.owner == claim.record.owner
-                    && found.record.generation == claim.record.generation;
-                if is_ours {
-                    self.take_up(claim.record.clone(), found.version);
-                }
-            }
-            Write::Commit(commit) => {
-                let id = &commit.job;
-                let found = self.store.jobs.get(id).cloned();
-                let generation = commit.record.generation;
-                let found = match found {
-                    Some(found) if found.record.generation == generation => {
-                        Some((found.record.clone(), found.record.finished, found.version))
-                    }
-                    Some(found) if found.record.owner.as_ref() == Some(&owner) => None,
-                    _ => {
-                        self.scheduler.close_job(id);
-                        None
-                    }
-                };
-                self.scheduler.completion_commit_failed(id, found);
-            }
-        }
-    }
-
-    fn take_up(&mut self, record: JobRecord, version: Revision) {
-        let id = record.spec.id.clone();
-        let finished = record.finished.clone();
-        self.scheduler.on_job_claimed(record, finished, version, Duration::ZERO, self.now);
-        if !self.store.jobs.contains_key(&id) {
-            self.scheduler.close_job(&id);
-        }
-    }
-
     fn submit_job(&mut self) {
         if self.store.jobs.len() >= MAX_JOBS {
             return;
@@ -438,102 +281,6 @@
         }
     }
 
-    fn start_machine(&mut self) {
-        if self.workers.len() < MAX_MACHINES {
-            self.machines_started += 1;
-            let name = format!("host-{}", self.machines_started);
-            self.workers.insert(name.as_str().into(), Worker::new(&name, self.now));
-        }
-    }
-
-    /// A machine is gone, and the cloud said so.
-    fn lose_some_machine(&mut self) {
-        if let Some(name) = self.some_machine() {
-            self.remove_machine(&name);
-        }
-    }
-
-    fn remove_machine(&mut self, name: &MachineName) {
-        self.workers.remove(name);
-        self.scheduler.on_machines_deleted(std::slice::from_ref(name));
-    }
-
-    fn silence_some_worker(&mut self) {
-        let Some(name) = self.some_machine() else { return };
-        let silence = Duration::from_millis(self.rng.random_range(500..18_000));
-        let until = self.now + silence;
-        if let Some(worker) = self.workers.get_mut(&name) {
-            worker.silent_until = until;
-        }
-    }
-
-    fn trouble_some_machine(&mut self) {
-        let Some(name) = self.some_machine() else { return };
-        let worker = self.workers.get_mut(&name).expect("a machine that is up");
-        match self.rng.random_range(0..3) {
-            0 => worker.is_faulty = true,
-            1 => worker.has_notice = true,
-            _ => self.scheduler.drain(name.as_str()),
-        }
-    }
-
-    /// A machine is asked directly what it holds.
-    fn send_some_fence(&mut self) {
-        let Some(target) = self.scheduler.fence_targets().into_iter().choose(&mut self.rng) else {
-            return;
-        };
-        self.send_directly(&target.machine, target.agent_epoch, target.purpose, Vec::new());
-    }
-
-    fn send_directly(
-        &mut self,
-        machine: &MachineName,
-        agent_epoch: corkfield_wire::AgentEpoch,
-        purpose: DirectPurpose,
-        orders: Vec<Order>,
-    ) {
-        let (now, term) = (self.now, self.scheduler.term());
-        let exchange = self.scheduler.begin_direct_exchange(machine.as_str(), purpose, now);
-        let (is_lost, answer_is_lost) = (self.rng.random_bool(0.1), self.rng.random_bool(0.1));
-        let worker = self.workers.get_mut(machine).filter(|worker| now >= worker.silent_until);
-        let answer = worker.filter(|_| !is_lost).map(|worker| {
-            if purpose == DirectPurpose::Order {
-                worker.take_direct_orders(term, agent_epoch, orders);
-            }
-            worker.next_message()
-        });
-        match answer.filter(|_| !answer_is_lost) {
-            Some(answer) => {
-                self.scheduler.on_direct_orders_answer(&answer, exchange, now);
-            }
-            None => self.scheduler.direct_exchange_failed(machine.as_str(), exchange),
-        }
-    }
-
-    fn carry_out_actions(&mut self) {
-        for action in self.scheduler.take_actions() {
-            match action {
-                Action::Direct { machine, agent_epoch, orders, .. } => {
-                    self.send_directly(&machine, agent_epoch, DirectPurpose::Order, orders);
-                }
-                Action::Record(machine, record) => {
-                    let stored = self.rng.random_bool(0.9);
-                    if stored {
-                        self.store.machines.insert(machine.clone(), record);
-                    }
-                    self.scheduler.on_machine_record_written(machine.as_str(), stored);
-                }
-                Action::Erase(machine) => drop(self.store.machines.remove(&machine)),
-                Action::Delete(machines) if self.rng.random_bool(0.8) => {
-                    for machine in &machines {
-                        self.remove_machine(machine);
-                    }
-                }
-                Action::Answer(_) | Action::Rent(_) | Action::Delete(_) => {}
-            }
-        }
-    }
-
     /// Another controller leads, under a higher term. Writes of the one before are still under
     /// way.
     fn change_leader(&mut self) {
--- a/crates/core/tests/scheduler/random_faults/mod.rs
+++ b/crates/core/tests/scheduler/random_faults/mod.rs
@@ -6,9 +6,11 @@
 
 mod driver;
 mod invariants;
+mod machines;
 mod restarts;
 mod store;
 mod workers;
+mod writes;
 
 use driver::Driver;
 
