Readability: the answer that a shown start came with is worked out once, and less is done a heartbeat

sync_task already saw which starts a message is the first to show; it says now with which answer they came, in place of a second walk over the message that copied every task's name. A receipt is built once, whole, and the machine looked up once. One check for 'lacks what was shown alive', one way to hold a heartbeat back in the random driver.

--- a/crates/core/src/machine/lease.rs
+++ b/crates/core/src/machine/lease.rs
@@ -59,8 +59,8 @@
     /// not taken, and renewed no lease: otherwise a machine that no answer reaches would hold up a
     /// failover for as long as its heartbeats come.
     pub(super) fn note_heartbeat(&mut self, term: Term) {
-        self.is_answer_doubtful = false;
         if term < self.answered_term {
+            self.is_answer_doubtful = false;
             self.answered_at = self.answered_before;
         } else {
             self.note_term_shown();
@@ -94,8 +94,8 @@
 
     /// Whether no controller can have renewed it for longer than it lasts (S5).
     pub(super) fn is_over(&self, now: Instant, expiry_after: Duration) -> bool {
-        let until = self.earlier_leader_until.unwrap_or(self.answered_at);
-        let renewed_at = self.answered_at.max(until);
+        let until = self.earlier_leader_until;
+        let renewed_at = until.map_or(self.answered_at, |until| until.max(self.answered_at));
         !self.expired && now.saturating_duration_since(renewed_at) > expiry_after
     }
 
--- a/crates/core/src/machine/receipt.rs
+++ b/crates/core/src/machine/receipt.rs
@@ -10,21 +10,22 @@
 impl Machine {
     /// Whether one of the tasks that a message lacks was shown by an earlier one of its agent
     /// epoch, not exited. A task stays in the heartbeats until its worker was ordered to forget
-    /// it, which is done only once it has exited. So the message is of another process than the earlier one: the
-    /// worker was back within an instant and counts anew, or the message is of the process before
-    /// that, and was held back. It says nothing of what the machine holds.
+    /// it, which is done only once it has exited. So the message is of another process than the
+    /// earlier one: the worker was back within an instant and counts anew, or the message is of the
+    /// process before that, and was held back. It says nothing of what the machine holds.
     pub(crate) fn has_lost_one_of(&self, absent: &[TaskAttempt], agent_epoch: AgentEpoch) -> bool {
-        let was_shown_alive =
-            |key: &TaskAttempt| self.tasks.get(key).is_some_and(MachineTask::was_shown_alive);
-        agent_epoch == self.messages.newest().agent_epoch && absent.iter().any(was_shown_alive)
+        agent_epoch == self.messages.newest().agent_epoch && self.has_shown_alive_one_of(absent)
+    }
+
+    /// Whether one of these tasks was shown by the newest message, not exited.
+    fn has_shown_alive_one_of(&self, tasks: &[TaskAttempt]) -> bool {
+        tasks.iter().any(|key| self.tasks.get(key).is_some_and(MachineTask::was_shown_alive))
     }
 
     /// Whether a message lacks tasks that an earlier agent epoch showed, and nothing proves that it
     /// was written after those messages: it may be of a process before the one that runs them.
     pub(crate) fn may_predate_newest(&self, absent: &[TaskAttempt], evidence: &Evidence) -> bool {
-        let was_shown_alive =
-            |key: &TaskAttempt| self.tasks.get(key).is_some_and(MachineTask::was_shown_alive);
-        absent.iter().any(was_shown_alive)
+        self.has_shown_alive_one_of(absent)
             && !evidence.is_after_message(self.messages.newest(), self.heard_at)
     }
 
--- a/crates/core/src/machine/tasks.rs
+++ b/crates/core/src/machine/tasks.rs
@@ -48,6 +48,18 @@
     Exited,
 }
 
+impl MachineTaskState {
+    /// The heartbeat whose answer carried the start, if nothing was heard of the task since.
+    pub(crate) fn answered_heartbeat(self) -> Option<MessageNumber> {
+        match self {
+            Self::Ordered { agent_epoch, sequence } => {
+                Some(MessageNumber { agent_epoch, sequence })
+            }
+            _ => None,
+        }
+    }
+}
+
 /// One attempt at a task; what a task on a machine is known by.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TaskAttempt {
@@ -274,22 +286,6 @@
         keys.filter(|key| !shown.contains(&(&key.task, key.attempt))).cloned().collect()
     }
 
-    /// The newest heartbeat that was answered with a start which that message is the first to show.
-    pub(crate) fn newest_start_shown_by(
-        &self,
-        heartbeat: &WorkerHeartbeat,
-    ) -> Option<MessageNumber> {
-        let shown = heartbeat.tasks.iter().filter_map(|status| {
-            let key = TaskAttempt { task: status.task.clone(), attempt: status.attempt };
-            let MachineTaskState::Ordered { agent_epoch, sequence } = self.tasks.get(&key)?.state
-            else {
-                return None;
-            };
-            Some(MessageNumber { agent_epoch, sequence })
-        });
-        shown.max()
-    }
-
     /// What the tasks come to.
     pub(crate) fn totals(&self) -> &Totals {
         self.totals.get_or_init(|| {
--- a/crates/core/src/scheduler/heartbeats/absences.rs
+++ b/crates/core/src/scheduler/heartbeats/absences.rs
@@ -25,13 +25,19 @@
 }
 
 impl Absences {
-    /// What a message proves of the tasks of its machine that it lacks.
-    pub(super) fn of(machine: &Machine, receipt: &Receipt) -> Self {
+    /// What a message proves of the tasks of its machine that it lacks. It may be the first to show
+    /// starts, the newest of them sent with the answer to the heartbeat given: it was written after
+    /// that answer was taken.
+    pub(super) fn of(
+        machine: &Machine,
+        receipt: &Receipt,
+        newest_start_taken: Option<MessageNumber>,
+    ) -> Self {
         let mut absences =
             Self { lost: Vec::new(), start_lost: false, newest_doubtful_start: None };
         for key in &receipt.absent {
             let Some(task) = machine.tasks.get(key) else { continue };
-            let absence = receipt.absence_of(task);
+            let absence = receipt.absence_of(task, newest_start_taken);
             let is_shown_lost = task.is_ordered() && receipt.origin.is_own_heartbeat();
             absences.start_lost |= is_shown_lost && !matches!(absence, Absence::Unknown);
             match absence {
@@ -61,8 +67,12 @@
 
 impl Receipt {
     /// What the message proves of a task that it lacks.
-    fn absence_of(&self, machine_task: &MachineTask) -> Absence {
-        let MachineTaskState::Ordered { agent_epoch, sequence } = machine_task.state else {
+    fn absence_of(
+        &self,
+        machine_task: &MachineTask,
+        newest_start_taken: Option<MessageNumber>,
+    ) -> Absence {
+        let Some(answered) = machine_task.state.answered_heartbeat() else {
             return match machine_task.state {
                 MachineTaskState::Assigned => Absence::Unknown,
                 _ => Absence::Lost,
@@ -70,10 +80,10 @@
         };
         // A start travels only in the answer to a heartbeat, and the worker drops it after a while
         // (S3). What was surely written after that shows whether it was carried out.
-        let (answered, left_at) = (MessageNumber { agent_epoch, sequence }, machine_task.since);
+        let left_at = machine_task.since;
         if self.number <= answered {
             Absence::Unknown
-        } else if self.after_starts_of.is_some_and(|newest| newest >= answered)
+        } else if newest_start_taken >= Some(answered)
             || self.evidence.is_after_answer_to(answered, left_at)
         {
             Absence::Lost
--- a/crates/core/src/scheduler/heartbeats/mod.rs
+++ b/crates/core/src/scheduler/heartbeats/mod.rs
@@ -39,9 +39,6 @@
     origin: MessageOrigin,
     /// What proves when it was written.
     evidence: Evidence,
-    /// The newest answer whose starts it shows, of those that had not been shown before: it was
-    /// written after that answer was taken.
-    after_starts_of: Option<MessageNumber>,
     /// Tasks known of the machine that it does not show.
     absent: Vec<TaskAttempt>,
     /// The number of the message.
@@ -68,6 +65,7 @@
             return Verdict::Stale;
         }
         let our_term = self.term;
+        let prompt = self.cluster.config.heartbeat_interval.mul_f64(PROMPT_INTERVALS);
         let number = MessageNumber::from(heartbeat);
         let machine = self.machine_of(heartbeat, now);
         if machine.messages.is_outdated(number) {
@@ -91,26 +89,13 @@
             machine.doubt = Some(Doubt::of_shown_tasks(now).continuing(machine.doubt));
             return Verdict::Stale;
         }
-        let after_starts_of = machine.tasks.newest_start_shown_by(heartbeat);
-        let prompt_gap = None;
-        let receipt =
-            Receipt { origin, evidence, after_starts_of, absent, number, prompt_gap, now };
-        self.take_message(heartbeat, receipt)
-    }
-
-    /// Takes a message that is neither outdated nor of a process before the newest known one.
-    fn take_message(&mut self, heartbeat: &WorkerHeartbeat, mut receipt: Receipt) -> Verdict {
-        let our_term = self.term;
-        let prompt = self.cluster.config.heartbeat_interval.mul_f64(PROMPT_INTERVALS);
-        let machine = self.machine_of(heartbeat, receipt.now);
-        let gap = machine.receive(heartbeat, receipt.origin, &receipt.evidence, receipt.now);
-        receipt.prompt_gap = gap.filter(|gap| *gap <= prompt);
+        let gap = machine.receive(heartbeat, origin, &evidence, now);
         if machine.update_fence(heartbeat, our_term) {
+            let prompt_gap = gap.filter(|gap| *gap <= prompt);
+            let receipt = Receipt { origin, evidence, absent, number, prompt_gap, now };
             self.on_fresh_heartbeat(heartbeat, &receipt);
         }
-        if receipt.origin.is_own_heartbeat()
-            && self.withholds_answer(heartbeat.machine.as_str(), receipt.now)
-        {
+        if origin.is_own_heartbeat() && self.withholds_answer(heartbeat.machine.as_str(), now) {
             return Verdict::AnswersInDoubt;
         }
         Verdict::Accept
@@ -151,16 +136,18 @@
     /// Brings the tasks known of a machine in line with its heartbeat.
     fn sync_tasks(&mut self, heartbeat: &WorkerHeartbeat, receipt: &Receipt) {
         let name = &heartbeat.machine;
-        let mut start_taken = false;
+        let mut newest_start_taken = None;
         for status in &heartbeat.tasks {
-            start_taken |= self.sync_task(name.as_str(), status, receipt);
+            let start_taken = self.sync_task(name.as_str(), status, receipt);
+            newest_start_taken = newest_start_taken.max(start_taken);
         }
         let Some(machine) = self.cluster.machines.get_mut(name) else {
             return;
         };
-        let absences = Absences::of(machine, receipt);
+        let absences = Absences::of(machine, receipt, newest_start_taken);
         machine.doubt = absences.doubt(machine.doubt, receipt);
         let Absences { lost, start_lost, .. } = absences;
+        let start_taken = newest_start_taken.is_some();
         if start_taken || start_lost {
             machine.note_delivery(start_taken);
         }
--- a/crates/core/src/scheduler/heartbeats/task_status.rs
+++ b/crates/core/src/scheduler/heartbeats/task_status.rs
@@ -3,7 +3,7 @@
 use super::{Receipt, Scheduler};
 use crate::cluster::Cluster;
 use crate::job::{Job, JobState, Placed};
-use crate::machine::{Machine, MachineTask, MachineTaskState, TaskAttempt};
+use crate::machine::{Machine, MachineTask, MachineTaskState, MessageNumber, TaskAttempt};
 use corkfield_wire::worker::{ExitCause, TaskPhase, TaskStatus};
 use corkfield_wire::TaskId;
 use std::time::Instant;
@@ -82,17 +82,20 @@
 }
 
 impl Scheduler {
-    /// Takes what a heartbeat says of a task; true if that shows that a start was taken.
-    pub(super) fn sync_task(&mut self, name: &str, status: &TaskStatus, receipt: &Receipt) -> bool {
+    /// Takes what a heartbeat says of a task. If that shows that its start was taken, returns which
+    /// heartbeat's answer carried it.
+    pub(super) fn sync_task(
+        &mut self,
+        name: &str,
+        status: &TaskStatus,
+        receipt: &Receipt,
+    ) -> Option<MessageNumber> {
         let key = TaskAttempt { task: status.task.clone(), attempt: status.attempt };
         let Cluster { jobs, machines, estimate_corrections, .. } = &mut self.cluster;
-        let Some(machine) = machines.get_mut(name) else {
-            return false;
-        };
+        let machine = machines.get_mut(name)?;
         let state = reported_state(status);
         let (known, machine_task) = update_machine_task(machine, &key, state, receipt.now);
-        let start_taken =
-            known.is_some_and(|known| matches!(known.state, MachineTaskState::Ordered { .. }));
+        let start_taken = known.and_then(|known| known.state.answered_heartbeat());
         let Some(job) = jobs.get_mut(&key.task.job) else {
             // Cancelled, done, or not claimed yet; stopped once all jobs are claimed.
             return start_taken;
--- a/crates/core/tests/scheduler/random_faults/driver.rs
+++ b/crates/core/tests/scheduler/random_faults/driver.rs
@@ -163,12 +163,11 @@
         if !worker.may_send(now) {
             return false;
         }
-        let (heartbeat, origin) = (worker.next_message(), worker.origin());
         if self.rng.random_bool(self.held_back) {
-            worker.give_up_exchange();
-            self.held_heartbeats.push(HeldHeartbeat { heartbeat, origin });
+            self.held_heartbeats.push(HeldHeartbeat::sent_by(worker));
             return false;
         }
+        let (heartbeat, origin) = (worker.next_message(), worker.origin());
         if self.scheduler.on_heartbeat(&heartbeat, origin, now) != Verdict::Accept {
             worker.give_up_exchange();
             return false;
--- a/crates/core/tests/scheduler/random_faults/restarts.rs
+++ b/crates/core/tests/scheduler/random_faults/restarts.rs
@@ -1,6 +1,7 @@
 //! Workers that are back within an instant, and heartbeats that are held back across that.
 
 use super::driver::Driver;
+use super::workers::Worker;
 use corkfield_core::{MessageOrigin, Verdict};
 use corkfield_wire::worker::WorkerHeartbeat;
 use corkfield_wire::MachineName;
@@ -17,6 +18,15 @@
     pub origin: MessageOrigin,
 }
 
+impl HeldHeartbeat {
+    /// The worker's next heartbeat, which it gives up.
+    pub fn sent_by(worker: &mut Worker) -> Self {
+        let (heartbeat, origin) = (worker.next_message(), worker.origin());
+        worker.give_up_exchange();
+        Self { heartbeat, origin }
+    }
+}
+
 impl Driver {
     /// A machine is back within an instant, with nothing on it.
     pub(super) fn restart_some_worker(&mut self) {
@@ -35,9 +45,7 @@
         let now = self.now;
         let Some(worker) = self.workers.get_mut(&name) else { return };
         for _ in 0..held {
-            let (heartbeat, origin) = (worker.next_message(), worker.origin());
-            worker.give_up_exchange();
-            self.held_heartbeats.push(HeldHeartbeat { heartbeat, origin });
+            self.held_heartbeats.push(HeldHeartbeat::sent_by(worker));
         }
         worker.restart(now);
         let excess = self.held_heartbeats.len().saturating_sub(MAX_HELD_HEARTBEATS);
