--- a/review/standins/src/lab.rs
+++ b/review/standins/src/lab.rs
@@ -186,6 +186,14 @@
         }
     }
 
+    /// Sends a signal to a controller's process, for example to stop or to continue it.
+    pub fn signal(&self, number: usize, signal: &str) {
+        if let Some(child) = self.all[number].child.borrow().as_ref() {
+            let _ = Command::new("kill").arg(signal).arg(child.id().to_string()).status();
+            self.record.write(&format!("signal {signal} to {}", self.all[number].name));
+        }
+    }
+
     pub fn names_and_addrs(&self) -> Vec<(String, SocketAddr)> {
         self.all.iter().map(|c| (c.name.clone(), c.client_addr)).collect()
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 mod cloud;
 mod lab;
 mod left_waiting;
+mod no_takeover;
 mod not_done;
 mod worker;
 
@@ -28,6 +29,14 @@
             not_done::run(folder, record, options).await
         }
         "left-waiting" => left_waiting::run(folder, record, trouble == "1").await,
+        "no-takeover" => {
+            let options = no_takeover::Options {
+                has_storm: matches!(trouble.as_str(), "1" | "storm"),
+                has_freeze: matches!(trouble.as_str(), "1" | "freeze"),
+                jobs: std::env::var("JOBS").ok().and_then(|s| s.parse().ok()).unwrap_or(80),
+            };
+            no_takeover::run(folder, record, options).await
+        }
         _ => EXIT_NOT_RUN,
     }
 }
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -98,6 +98,8 @@
     state: RefCell<State>,
     changed: Notify,
     gone: Cell<bool>,
+    /// The controller whose 200 was accepted last, and when, in seconds of the record.
+    last_answer: RefCell<Option<(String, f64)>>,
     /// Whether every task that the worker starts fails.
     pub is_sick: Cell<bool>,
     random: Random,
@@ -126,6 +128,7 @@
             }),
             changed: Notify::new(),
             gone: Cell::new(false),
+            last_answer: RefCell::default(),
             is_sick: Cell::new(false),
             random: Random::new(seed),
         });
@@ -141,6 +144,14 @@
         self.drop_tasks("machine deleted");
     }
 
+    pub fn tenure(&self) -> u64 {
+        self.state.borrow().tenure
+    }
+
+    pub fn last_answer(&self) -> Option<(String, f64)> {
+        self.last_answer.borrow().clone()
+    }
+
     pub fn is_gone(&self) -> bool {
         self.gone.get()
     }
@@ -397,7 +408,10 @@
             match answer {
                 Ok(answer) if answer.status == 200 => {
                     let reply: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
-                    self.accept(&reply, sent_at, tenure);
+                    if self.accept(&reply, sent_at, tenure) {
+                        let node = self.settings.nodes[node].0.clone();
+                        *self.last_answer.borrow_mut() = Some((node, self.record.elapsed_s()));
+                    }
                     let wait = self.settings.report.mul_f64(0.75 + 0.5 * self.random.unit());
                     tokio::time::sleep(MIN_REPORT_INTERVAL).await;
                     let rest = wait.saturating_sub(MIN_REPORT_INTERVAL);
@@ -430,12 +444,12 @@
         Client::new(Rc::new(Tcp), self.settings.nodes[node].1, 1, 1024 * 1024)
     }
 
-    fn accept(&self, reply: &Value, sent_at: Instant, tenure: u64) {
+    fn accept(&self, reply: &Value, sent_at: Instant, tenure: u64) -> bool {
         {
             let mut state = self.state.borrow_mut();
-            let Some(epoch) = reply["epoch"].as_u64() else { return };
+            let Some(epoch) = reply["epoch"].as_u64() else { return false };
             if epoch < state.epoch || tenure != state.tenure || sent_at.elapsed() > ANSWER_LIMIT {
-                return;
+                return false;
             }
             if epoch > state.epoch {
                 state.epoch = epoch;
@@ -444,5 +458,6 @@
             state.renewed_at = state.renewed_at.max(sent_at);
         }
         self.execute(&reply["orders"]);
+        true
     }
 }
