Review: case 2, a task starts on one machine while it is on another

Cause: an unanswered claim counts as carried out if one of its records shows the owner and generation that an earlier unanswered claim wrote. Change: the case with its claim, its script and its driver.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod left_waiting;
 mod no_takeover;
 mod not_done;
+mod ran_twice;
 mod worker;
 
 use lab::{Record, EXIT_NOT_RUN};
@@ -37,6 +38,13 @@
             };
             no_takeover::run(folder, record, options).await
         }
+        "ran-twice" => {
+            let options = ran_twice::Options {
+                has_late_writes: matches!(trouble.as_str(), "1" | "late"),
+                has_hang_and_crash: matches!(trouble.as_str(), "1" | "crash"),
+            };
+            ran_twice::run(folder, record, options).await
+        }
         _ => EXIT_NOT_RUN,
     }
 }
