--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -17,7 +17,7 @@
   [ -z "$driver" ] || kill -KILL "$driver" 2>/dev/null
   if [ -f "$folder/pids" ]; then
     while read -r pid; do
-      if [ "$(tr '\0' ' ' <"/proc/$pid/cmdline" 2>/dev/null | grep -c -F "$folder")" -gt 0 ]; then
+      if { tr '\0' ' ' <"/proc/$pid/cmdline" | grep -q -F "$folder"; } 2>/dev/null; then
         kill -CONT "$pid" 2>/dev/null
         kill -KILL "$pid" 2>/dev/null
       fi
