Log what a completion commit counts, and what a renewed claim finds

The debug lines 'completion commit begun' and 'job claimed again' show the record's version, generation and count beside the number of tasks that this controller knows as finished and has not seen stored.

--- a/crates/core/src/scheduler/claims.rs
+++ b/crates/core/src/scheduler/claims.rs
@@ -58,6 +58,7 @@
         let id = record.spec.id.clone();
         if self.cluster.jobs.get(&id).is_some_and(Job::is_live) {
             let dead_lettered = record.dead_lettered;
+            self.log_reclaim(&record, version);
             self.change_job(&id, |job| job.on_reclaimed(record, version, now));
             if dead_lettered {
                 self.stop_job_tasks(&id);
@@ -70,6 +71,21 @@
         self.cluster.jobs.insert(id, job);
     }
 
+    /// Logs the claim of a job that this controller holds already: how many finished tasks the
+    /// claimed record counts, and how many this controller knows of and has not seen stored.
+    fn log_reclaim(&self, record: &JobRecord, version: Revision) {
+        let Some(job) = self.cluster.jobs.get(&record.spec.id) else { return };
+        tracing::debug!(
+            job = %record.spec.id,
+            version = version.get(),
+            generation = record.generation.get(),
+            stored_count = record.finished_count,
+            finished = job.finished().len(),
+            unstored = job.unstored().len(),
+            "job claimed again"
+        );
+    }
+
     /// Adopts the job's tasks that fenced machines reported before the job was claimed. Results are
     /// adopted first, so that no attempt at a finished task continues.
     fn adopt_reported_tasks(&mut self, job: &mut Job) {
--- a/crates/core/src/scheduler/completion_commit.rs
+++ b/crates/core/src/scheduler/completion_commit.rs
@@ -110,6 +110,16 @@
             record.claims = 0;
         }
         job.begin_commit(now);
+        tracing::debug!(
+            job = %record.spec.id,
+            version = job.version.get(),
+            generation = record.generation.get(),
+            tasks = storable.tasks.len(),
+            finished_count = record.finished_count,
+            finished = job.finished().len(),
+            unstored = job.unstored().len(),
+            "completion commit begun"
+        );
         CompletionCommit {
             job: record.spec.id.clone(),
             version: job.version,
