Count finished tasks of large jobs from their set, and learn what a renewed claim finds stored

Cause: jobs of more than 1,024 tasks kept a running sum of their finished tasks, and each completion commit added the tasks that it stored. If such a commit was carried out but not answered, and the leader claimed the job again after a back-off before it gave up the answer, the claimed record counted the tasks already. The new claim took over the record but not the finished tasks that were read with it, so the tasks stayed 'unstored' and the next commit added them once more. The job was written as done when the sum reached its tasks.

Fix: the count of a commit is derived from the sets: tasks known to be stored, plus those that the commit stores. A renewed claim merges the finished tasks that the store has, as the read after a failed commit does. Both are at one version of the record, which any other commit would change. A count that an earlier version stored too high is corrected by the next commit.

The random driver gains arrays beyond one chunk, jobs whose tasks fail in part, answers that are lost after the write and given up later, reads that fail, and the checks that each stored count equals its stored set and that a job is done only once its tasks have completed.

--- a/crates/core/src/job/commit.rs
+++ b/crates/core/src/job/commit.rs
@@ -132,6 +132,11 @@
         self.completion.unstored()
     }
 
+    /// Returns the number of tasks that the key-value store is known to have as done.
+    pub(crate) fn stored_count(&self) -> u32 {
+        self.completion.stored_count()
+    }
+
     /// Returns the indices of the finished tasks in a chunk.
     pub(crate) fn finished_in_chunk(&self, chunk: u32) -> TaskSet {
         self.completion.finished_in_chunk(chunk)
--- a/crates/core/src/job/completion.rs
+++ b/crates/core/src/job/completion.rs
@@ -43,6 +43,12 @@
         self.finished.contains(index) && !self.unstored.contains(&index)
     }
 
+    /// Returns the number of tasks that the key-value store is known to have as done.
+    pub(super) fn stored_count(&self) -> u32 {
+        let unstored = u32::try_from(self.unstored.len()).unwrap_or(u32::MAX);
+        self.finished.len().saturating_sub(unstored)
+    }
+
     /// Returns the indices of the finished tasks in a chunk.
     pub(super) fn finished_in_chunk(&self, chunk: u32) -> TaskSet {
         self.finished.slice(chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS)
--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -322,12 +322,20 @@
         }
     }
 
-    /// Processes a new claim of the job, for example after a backoff.
-    pub(crate) fn on_reclaimed(&mut self, record: JobRecord, version: Revision, now: Instant) {
+    /// Processes a new claim of the job, for example after a backoff. `finished` are the stored
+    /// finished tasks: a commit that was not answered may have stored more than are known here.
+    pub(crate) fn on_reclaimed(
+        &mut self,
+        record: JobRecord,
+        finished: &TaskSet,
+        version: Revision,
+        now: Instant,
+    ) {
         let state = JobState::after_claim(record.dead_lettered);
         self.claims_when_claimed = record.claims;
         self.record = record;
         self.version = version;
+        self.completion.merge_stored(finished);
         self.claimed_at = now;
         self.is_refunded = false;
         self.failures.clear_machines();
--- a/crates/core/src/job/tests.rs
+++ b/crates/core/src/job/tests.rs
@@ -36,7 +36,7 @@
     let second = job.next_attempt();
     let mut reclaimed = job.record.clone();
     reclaimed.claim("owner".into());
-    job.on_reclaimed(reclaimed, Revision::new(2), now);
+    job.on_reclaimed(reclaimed, &TaskSet::default(), Revision::new(2), now);
     assert!(first < second && second < job.next_attempt());
 }
 
@@ -84,7 +84,7 @@
     job.back_off(now);
     assert!(matches!(job.state(), JobState::BackingOff(until) if until > now));
     job.transition_to(JobState::NeedsReclaim);
-    job.on_reclaimed(record(1), Revision::new(2), now);
+    job.on_reclaimed(record(1), &TaskSet::default(), Revision::new(2), now);
     assert_eq!(job.state(), JobState::Active);
     job.transition_to(JobState::Closing);
     job.transition_to(JobState::Active);
--- a/crates/core/src/scheduler/claims.rs
+++ b/crates/core/src/scheduler/claims.rs
@@ -41,7 +41,7 @@
     }
 
     /// Adds a job that was claimed at `version`, or updates it if it was claimed before. `finished`
-    /// are its finished tasks; `age` is the time since the job was accepted.
+    /// are its finished tasks as stored at `version`; `age` is the time since the job was accepted.
     pub fn on_job_claimed(
         &mut self,
         record: JobRecord,
@@ -59,7 +59,7 @@
         if self.cluster.jobs.get(&id).is_some_and(Job::is_live) {
             let dead_lettered = record.dead_lettered;
             self.log_reclaim(&record, version);
-            self.change_job(&id, |job| job.on_reclaimed(record, version, now));
+            self.change_job(&id, |job| job.on_reclaimed(record, &finished, version, now));
             if dead_lettered {
                 self.stop_job_tasks(&id);
             }
--- a/crates/core/src/scheduler/completion_commit.rs
+++ b/crates/core/src/scheduler/completion_commit.rs
@@ -90,8 +90,10 @@
         let mut record = job.record.clone();
         let storable = if record.is_chunked() {
             let storable = StorableTasks::in_chunks(job);
-            let stored = u32::try_from(storable.tasks.len()).unwrap_or(0);
-            record.finished_count = record.finished_count.saturating_add(stored);
+            // The count is derived from the set of tasks. If it were added to the record's count,
+            // tasks of a commit whose outcome was unknown could be counted twice.
+            let newly_stored = u32::try_from(storable.tasks.len()).unwrap_or(u32::MAX);
+            record.finished_count = job.stored_count().saturating_add(newly_stored);
             storable
         } else {
             record.finished = job.finished().clone();
--- a/crates/core/tests/scheduler/completion.rs
+++ b/crates/core/tests/scheduler/completion.rs
@@ -6,7 +6,7 @@
     scheduler_with_machines, scheduler_with_start_sent, task_status,
 };
 use corkfield_core::{Action, CompletionCommit, MachineTaskState, Scheduler};
-use corkfield_wire::records::JobRecord;
+use corkfield_wire::records::{JobRecord, CHUNK_TASKS};
 use corkfield_wire::worker::{ExitCause, Order, TaskPhase, TaskStatus};
 use corkfield_wire::{AgentEpoch, Attempt, Generation, JobId, Priority, Revision, TaskId, TaskSet};
 use std::time::{Duration, Instant};
@@ -231,3 +231,60 @@
         "the claim is refunded only once"
     );
 }
+
+/// Reports tasks of the first job as done on `host-1`.
+fn report_done(
+    scheduler: &mut Scheduler,
+    sequence: u64,
+    tasks: std::ops::Range<u32>,
+    now: Instant,
+) {
+    let done = tasks.map(|index| TaskStatus {
+        task: TaskId { job: first_job_id(), index },
+        ..task_status(Attempt::new(1 << 24), TaskPhase::Exited, Some(ExitCause::Done))
+    });
+    scheduler.on_heartbeat(&heartbeat(sequence, 1, done.collect()), true, now);
+}
+
+/// Guards against a large job that is done before its tasks are. A commit is carried out but not
+/// answered, and the job is claimed again before the leader gives up the answer. The claimed record
+/// counts the tasks of the commit, so they must not be added to the count once more.
+#[test]
+fn tasks_of_an_unanswered_commit_are_counted_once_after_the_next_claim() {
+    let now = Instant::now();
+    let tasks = CHUNK_TASKS + 10;
+    let mut scheduler = empty_scheduler(1);
+    scheduler.on_heartbeat(&heartbeat(1, 1, Vec::new()), true, now);
+    let claimed = job_record(tasks, 1);
+    scheduler.on_job_claimed(claimed, TaskSet::default(), Revision::new(5), Duration::ZERO, now);
+    report_done(&mut scheduler, 2, 0..20, now);
+    let unanswered = scheduler.due_completion_commits(4, now).remove(0);
+    assert_eq!(unanswered.record.finished_count, 20);
+    // The leader claims the job again, from the record that the commit has written.
+    let record = JobRecord { generation: Generation::new(2), ..unanswered.record.clone() };
+    let stored = unanswered.chunks[0].1.clone();
+    scheduler.on_job_claimed(record, stored, Revision::new(7), Duration::ZERO, now);
+    scheduler.on_completion_commit_failed(&first_job_id(), None);
+    assert!(scheduler.job(&first_job_id()).expect("a claimed job").is_stored(19));
+    report_done(&mut scheduler, 3, 20..25, now);
+    let next = scheduler.due_completion_commits(4, now + Duration::from_secs(1)).remove(0);
+    assert_eq!(next.record.finished_count, 25);
+    assert_eq!(next.tasks, [20, 21, 22, 23, 24]);
+}
+
+/// Guards against the same fault in records that were written before it was fixed: a count that is
+/// too high is corrected by the next commit, from the stored set of finished tasks.
+#[test]
+fn a_stored_count_that_is_too_high_is_corrected_from_the_set_of_finished_tasks() {
+    let now = Instant::now();
+    let tasks = CHUNK_TASKS + 10;
+    let mut scheduler = empty_scheduler(1);
+    scheduler.on_heartbeat(&heartbeat(1, 1, Vec::new()), true, now);
+    let record = JobRecord { finished_count: tasks - 1, ..job_record(tasks, 2) };
+    let stored = TaskSet::try_from("0-19".to_owned()).expect("a task set");
+    scheduler.on_job_claimed(record, stored, Revision::new(5), Duration::ZERO, now);
+    report_done(&mut scheduler, 2, 20..25, now);
+    let next = scheduler.due_completion_commits(4, now).remove(0);
+    assert_eq!(next.record.finished_count, 25);
+    assert!(!next.completes_job);
+}
--- a/crates/core/tests/scheduler/random_faults/driver.rs
+++ b/crates/core/tests/scheduler/random_faults/driver.rs
@@ -6,12 +6,11 @@
 use super::store::Store;
 use super::workers::{JobBehavior, PendingHeartbeat, Worker};
 use super::writes::{PendingWrite, WriteState};
-use crate::support::{config, job_record, machine_type};
+use crate::support::{config, machine_type};
 use corkfield_core::{Config, Scheduler, Verdict};
-use corkfield_wire::records::JobRecord;
 use corkfield_wire::settings::Team;
 use corkfield_wire::worker::Order;
-use corkfield_wire::{Incarnation, JobId, MachineName, Priority, Revision, Term};
+use corkfield_wire::{Incarnation, JobId, MachineName, Revision, TaskSet, Term};
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
@@ -23,7 +22,7 @@
 /// Probability that a heartbeat is delayed while faults occur.
 const DELAYED_HEARTBEAT_PROBABILITY: f64 = 0.15;
 /// Maximum number of unfinished jobs.
-const MAX_JOBS: usize = 6;
+pub(super) const MAX_JOBS: usize = 6;
 /// Time within which all jobs must complete once the faults have ended.
 const COMPLETION_TIMEOUT: Duration = Duration::from_secs(600);
 /// Duration of one round of that time.
@@ -39,15 +38,19 @@
     pub workers: BTreeMap<MachineName, Worker>,
     /// What happens to the tasks of each submitted job.
     pub(super) behaviors: BTreeMap<JobId, JobBehavior>,
-    cancelled: Vec<JobId>,
+    /// Tasks of each job that have completed on a machine.
+    pub(super) completed: BTreeMap<JobId, TaskSet>,
+    pub(super) cancelled: Vec<JobId>,
     pub(super) writes: Vec<PendingWrite>,
     /// Heartbeats that are delayed; their senders no longer wait for an answer.
     pub(super) delayed_heartbeats: Vec<DelayedHeartbeat>,
     /// Versions of the job records that the scheduler knew after the previous step.
     pub known_versions: BTreeMap<JobId, Revision>,
+    /// Revision of the store whose contents were checked last.
+    checked_revision: Revision,
     term: Term,
     pub(super) machines_started: u32,
-    jobs_submitted: u32,
+    pub(super) jobs_submitted: u32,
     /// Probability that a heartbeat is delayed; 0 once the faults have ended.
     delayed_heartbeat_probability: f64,
 }
@@ -79,10 +82,12 @@
             store: Store::default(),
             workers: BTreeMap::new(),
             behaviors: BTreeMap::new(),
+            completed: BTreeMap::new(),
             cancelled: Vec::new(),
             writes: Vec::new(),
             delayed_heartbeats: Vec::new(),
             known_versions: BTreeMap::new(),
+            checked_revision: Revision::NONE,
             term: Term::new(1),
             machines_started: 0,
             jobs_submitted: 0,
@@ -130,7 +135,12 @@
 
     /// Panics if an invariant is violated. Also updates the known versions.
     pub(super) fn check_invariants(&mut self) {
-        if let Err(violation) = invariants::check(self) {
+        let mut checked = invariants::check(self);
+        if self.checked_revision != self.store.revision() {
+            self.checked_revision = self.store.revision();
+            checked = checked.and_then(|()| invariants::check_store(self));
+        }
+        if let Err(violation) = checked {
             panic!("seed {}: {violation}", self.seed);
         }
         let jobs = self.store.jobs.keys().filter_map(|id| Some((id, self.scheduler.job(id)?)));
@@ -224,10 +234,18 @@
     }
 
     fn advance_random_worker(&mut self) {
-        let Some(name) = self.random_machine() else { return };
-        let worker = self.workers.get_mut(&name).expect("an existing machine");
+        if let Some(name) = self.random_machine() {
+            self.advance_worker(&name);
+        }
+    }
+
+    /// Advances the tasks of a worker, and records which of them have completed.
+    fn advance_worker(&mut self, name: &MachineName) {
+        let worker = self.workers.get_mut(name).expect("an existing machine");
         let behaviors = &self.behaviors;
-        worker.advance_tasks(|id| Self::behavior_of(behaviors, id));
+        for task in worker.advance_tasks(|id| Self::behavior_of(behaviors, id)) {
+            self.completed.entry(task.job).or_default().insert(task.index);
+        }
     }
 
     fn advance_clock_randomly(&mut self) {
@@ -243,55 +261,6 @@
         self.scheduler.tick(self.now);
     }
 
-    fn submit_job(&mut self) {
-        if self.store.jobs.len() >= MAX_JOBS {
-            return;
-        }
-        self.jobs_submitted += 1;
-        let tasks = self.rng.random_range(1..14);
-        let mut record = JobRecord::new(job_record(tasks, 1).spec, 0);
-        record.spec.id =
-            JobId::parse(&format!("j-{:06}", self.jobs_submitted)).expect("a valid job id");
-        record.spec.cpus = [1.0, 1.0, 2.0][self.rng.random_range(0..3)];
-        record.spec.priority =
-            [Priority::High, Priority::Normal, Priority::Low][self.rng.random_range(0..3)];
-        if self.rng.random_bool(0.5) {
-            record.spec.team = "limited".into();
-        }
-        let behavior = match self.rng.random_range(0..10) {
-            0..=1 => JobBehavior::Fails,
-            2..=3 => JobBehavior::Unknown,
-            _ => JobBehavior::Completes,
-        };
-        self.behaviors.insert(record.spec.id.clone(), behavior);
-        self.store.put(record);
-    }
-
-    fn cancel_random_job(&mut self) {
-        let Some(id) = self.store.jobs.keys().choose(&mut self.rng).cloned() else { return };
-        self.store.jobs.remove(&id);
-        self.cancelled.push(id.clone());
-        self.scheduler.close_job(&id);
-    }
-
-    fn release_random_dead_lettered_job(&mut self) {
-        let dead_lettered = self.store.jobs.values().filter(|stored| stored.record.dead_lettered);
-        let Some(record) = dead_lettered.choose(&mut self.rng).map(|stored| stored.record.clone())
-        else {
-            return;
-        };
-        self.store.put(JobRecord { dead_lettered: false, claims: 0, owner: None, ..record });
-    }
-
-    /// Uploads the description of a random job that workers did not know.
-    fn upload_random_job_description(&mut self) {
-        let unknown =
-            self.behaviors.iter_mut().filter(|(_, behavior)| **behavior == JobBehavior::Unknown);
-        if let Some((_, behavior)) = unknown.choose(&mut self.rng) {
-            *behavior = JobBehavior::Completes;
-        }
-    }
-
     /// Replaces the leader by another controller with a higher term. Requests of the previous
     /// leader that the store has not received yet stay in flight.
     fn change_leader(&mut self) {
@@ -333,7 +302,7 @@
             self.run_completion_round();
         }
         for id in self.behaviors.keys() {
-            let has_ended = self.store.done.contains(id) || self.cancelled.contains(id);
+            let has_ended = self.store.done.contains_key(id) || self.cancelled.contains(id);
             assert!(has_ended, "seed {}: {id} is neither done nor cancelled", self.seed);
         }
     }
@@ -344,9 +313,10 @@
         self.release_random_dead_lettered_job();
         for name in self.workers.keys().cloned().collect::<Vec<_>>() {
             // The scheduler may have deleted the machine earlier in this round.
-            let Some(worker) = self.workers.get_mut(&name) else { continue };
-            let behaviors = &self.behaviors;
-            worker.advance_tasks(|id| Self::behavior_of(behaviors, id));
+            if !self.workers.contains_key(&name) {
+                continue;
+            }
+            self.advance_worker(&name);
             self.send_heartbeat(&name);
             self.answer(&name);
             self.execute_actions();
--- a/crates/core/tests/scheduler/random_faults/invariants.rs
+++ b/crates/core/tests/scheduler/random_faults/invariants.rs
@@ -2,11 +2,11 @@
 
 use super::driver::{Driver, CPU_LIMIT};
 use corkfield_core::{Job, JobState, MachineTaskState};
-use corkfield_wire::{JobId, TaskId};
+use corkfield_wire::{JobId, TaskId, TaskSet};
 use std::collections::BTreeSet;
 use std::fmt::Write;
 
-/// Checks all invariants. Returns a description of the first one that is violated.
+/// Checks all invariants except those of [`check_store`]. Returns a description of the first one that is violated.
 pub fn check(driver: &Driver) -> Result<(), String> {
     check_workers(driver)?;
     for id in driver.store.jobs.keys() {
@@ -39,6 +39,31 @@
     Ok(())
 }
 
+/// Checks that each stored record counts exactly the finished tasks that are stored with it, that
+/// these have completed on a machine, and that a job is done only if all of its tasks have.
+pub fn check_store(driver: &Driver) -> Result<(), String> {
+    let no_tasks = TaskSet::default();
+    let completed = |id: &JobId| driver.completed.get(id).unwrap_or(&no_tasks);
+    for (id, stored) in &driver.store.jobs {
+        let (count, finished) = (stored.record.finished_count, driver.store.finished_tasks(id));
+        if count != finished.len() {
+            return Err(format!("{id}: {count} tasks counted, {} stored", finished.len()));
+        }
+        let mut all_completed = completed(id).clone();
+        all_completed.extend(&finished);
+        if all_completed.len() != completed(id).len() {
+            return Err(format!("{id}: a task that has not completed is stored"));
+        }
+    }
+    for (id, tasks) in &driver.store.done {
+        let completed = completed(id).len();
+        if completed < *tasks {
+            return Err(format!("{id}: done with {completed} of {tasks} tasks completed"));
+        }
+    }
+    Ok(())
+}
+
 /// Checks that the known version of a job's record never decreases.
 fn check_record(driver: &Driver, id: &JobId, job: &Job) -> Result<(), String> {
     let previous = driver.known_versions.get(id).copied().unwrap_or_default();
--- a/crates/core/tests/scheduler/random_faults/mod.rs
+++ b/crates/core/tests/scheduler/random_faults/mod.rs
@@ -6,6 +6,7 @@
 
 mod driver;
 mod invariants;
+mod jobs;
 mod machines;
 mod restarts;
 mod store;
--- a/crates/core/tests/scheduler/random_faults/store.rs
+++ b/crates/core/tests/scheduler/random_faults/store.rs
@@ -2,9 +2,9 @@
 //! tasks.
 
 use corkfield_core::CompletionCommit;
-use corkfield_wire::records::{JobRecord, MachineRecord};
-use corkfield_wire::{Incarnation, JobId, MachineName, Revision};
-use std::collections::{BTreeMap, BTreeSet};
+use corkfield_wire::records::{JobRecord, MachineRecord, CHUNK_TASKS};
+use corkfield_wire::{Incarnation, JobId, MachineName, Revision, TaskSet};
+use std::collections::BTreeMap;
 
 /// A stored job record, and the revision that wrote it.
 #[derive(Clone)]
@@ -28,13 +28,20 @@
     revision: Revision,
     /// Unfinished jobs.
     pub jobs: BTreeMap<JobId, StoredJob>,
-    /// Jobs that are done.
-    pub done: BTreeSet<JobId>,
+    /// Finished tasks of large jobs, by chunk number.
+    chunks: BTreeMap<JobId, BTreeMap<u32, TaskSet>>,
+    /// Number of tasks of each job that is done.
+    pub done: BTreeMap<JobId, u32>,
     /// Records of machines that may hold tasks.
     pub machines: BTreeMap<MachineName, MachineRecord>,
 }
 
 impl Store {
+    /// Returns the revision of the newest change.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     fn next_revision(&mut self) -> Revision {
         self.revision = self.revision.next();
         self.revision
@@ -46,6 +53,26 @@
         self.jobs.insert(record.spec.id.clone(), StoredJob { record, version });
     }
 
+    /// Stores the record of a large job, with its finished tasks in chunks.
+    pub fn put_with_chunks(&mut self, mut record: JobRecord, finished: &TaskSet) {
+        record.finished_count = finished.len();
+        let chunks = self.chunks.entry(record.spec.id.clone()).or_default();
+        for chunk in 0..record.spec.tasks.div_ceil(CHUNK_TASKS) {
+            chunks.insert(chunk, finished.slice(chunk * CHUNK_TASKS, (chunk + 1) * CHUNK_TASKS));
+        }
+        self.put(record);
+    }
+
+    /// Returns the stored finished tasks of a job.
+    pub fn finished_tasks(&self, id: &JobId) -> TaskSet {
+        let mut finished =
+            self.jobs.get(id).map(|stored| stored.record.finished.clone()).unwrap_or_default();
+        for chunk in self.chunks.get(id).into_iter().flat_map(BTreeMap::values) {
+            finished.extend(chunk);
+        }
+        finished
+    }
+
     /// Returns whether the job is stored at that version.
     fn is_stored_at(&self, id: &JobId, version: Revision) -> bool {
         self.jobs.get(id).is_some_and(|stored| stored.version == version)
@@ -64,10 +91,14 @@
         match write {
             Write::Commit(commit) if commit.completes_job => {
                 self.jobs.remove(id);
-                self.done.insert(id.clone());
+                self.done.insert(id.clone(), commit.record.spec.tasks);
                 return Some(self.next_revision());
             }
-            Write::Commit(commit) => self.put(commit.record.clone()),
+            Write::Commit(commit) => {
+                let chunks = self.chunks.entry(id.clone()).or_default();
+                chunks.extend(commit.chunks.iter().cloned());
+                self.put(commit.record.clone());
+            }
             Write::Claim(claim) => self.put(claim.record.clone()),
         }
         Some(self.revision)
--- a/crates/core/tests/scheduler/random_faults/workers.rs
+++ b/crates/core/tests/scheduler/random_faults/workers.rs
@@ -23,10 +23,23 @@
     Completes,
     /// The tasks fail on every machine.
     Fails,
+    /// Tasks with an odd index fail on every machine, the others complete.
+    FailsOddTasks,
     /// Workers refuse to start the tasks, because they don't know the job.
     Unknown,
 }
 
+impl JobBehavior {
+    /// Returns whether the task with this index completes on a sound machine.
+    fn completes(self, index: u32) -> bool {
+        match self {
+            Self::Completes => true,
+            Self::FailsOddTasks => index % 2 == 0,
+            Self::Fails | Self::Unknown => false,
+        }
+    }
+}
+
 /// A task on a machine.
 struct Task {
     phase: TaskPhase,
@@ -239,20 +252,24 @@
         }
     }
 
-    /// Advances each task to its next phase.
-    pub fn advance_tasks(&mut self, behavior_of: impl Fn(&JobId) -> JobBehavior) {
+    /// Advances each task to its next phase. Returns the tasks that have completed.
+    pub fn advance_tasks(&mut self, behavior_of: impl Fn(&JobId) -> JobBehavior) -> Vec<TaskId> {
+        let mut completed = Vec::new();
         for ((task, _), state) in &mut self.tasks {
             match state.phase {
                 TaskPhase::Fetching => state.phase = TaskPhase::Running,
                 TaskPhase::Running => {
-                    let completes =
-                        behavior_of(&task.job) == JobBehavior::Completes && !self.is_faulty;
+                    let completes = behavior_of(&task.job).completes(task.index) && !self.is_faulty;
                     let cause = if completes { ExitCause::Done } else { ExitCause::Error };
+                    if completes {
+                        completed.push(task.clone());
+                    }
                     (state.phase, state.cause) = (TaskPhase::Exited, Some(cause));
                 }
                 _ => {}
             }
         }
+        completed
     }
 
     /// Returns the running tasks.
--- a/crates/core/tests/scheduler/random_faults/writes.rs
+++ b/crates/core/tests/scheduler/random_faults/writes.rs
@@ -10,6 +10,13 @@
 
 /// A job is dead-lettered if it is claimed more often than this without progress.
 const CLAIM_LIMIT: u32 = 4;
+/// Probability that a write is not answered.
+const LOST_ANSWER_PROBABILITY: f64 = 0.25;
+/// Probability that the leader gives up a lost answer when the write's turn comes. A timeout takes
+/// far longer than an answer, so that other writes are answered in the meantime.
+const TIMEOUT_PROBABILITY: f64 = 0.1;
+/// Probability that the read after a write without an answer fails.
+const FAILED_READ_PROBABILITY: f64 = 0.2;
 /// Maximum number of completion commits in flight.
 const MAX_COMMITS: usize = 6;
 
@@ -19,6 +26,8 @@
     RequestInTransit,
     /// The write was applied at that version, or refused if `None`; its answer is in transit.
     AnswerInTransit(Option<Revision>),
+    /// The write was applied or refused, and its answer was lost. The leader still waits for it.
+    AnswerLost,
 }
 
 /// A write whose answer the leader has not received.
@@ -87,31 +96,46 @@
             return;
         }
         let position = self.rng.random_range(0..self.writes.len());
-        let pending = &mut self.writes[position];
-        match pending.state {
-            WriteState::RequestInTransit => {
-                let loses_answer = !pending.is_abandoned && self.rng.random_bool(0.15);
-                if loses_answer && self.rng.random_bool(0.5) {
-                    // The leader gives up waiting for the answer, and the write is applied later.
-                    pending.is_abandoned = true;
-                    let write = pending.write.clone();
-                    self.read_back(&write);
-                    return;
-                }
-                let version = self.store.apply(&pending.write);
-                pending.state = WriteState::AnswerInTransit(version);
-                if pending.is_abandoned || loses_answer {
-                    let is_abandoned = pending.is_abandoned;
-                    let write = self.writes.swap_remove(position).write;
-                    if !is_abandoned {
-                        self.read_back(&write);
-                    }
-                }
-            }
+        match self.writes[position].state {
+            WriteState::RequestInTransit => self.advance_request(position),
             WriteState::AnswerInTransit(version) => {
                 let write = self.writes.swap_remove(position).write;
                 self.handle_write_answer(&write, version);
             }
+            WriteState::AnswerLost if self.rng.random_bool(TIMEOUT_PROBABILITY) => {
+                let write = self.writes.swap_remove(position).write;
+                self.handle_missing_answer(&write);
+            }
+            WriteState::AnswerLost => {}
+        }
+    }
+
+    /// Applies a write, or makes the leader give up waiting for its answer before it is applied.
+    fn advance_request(&mut self, position: usize) {
+        let is_abandoned = self.writes[position].is_abandoned;
+        let loses_answer = !is_abandoned && self.rng.random_bool(LOST_ANSWER_PROBABILITY);
+        if loses_answer && self.rng.random_bool(0.5) {
+            self.writes[position].is_abandoned = true;
+            let write = self.writes[position].write.clone();
+            self.handle_missing_answer(&write);
+            return;
+        }
+        let version = self.store.apply(&self.writes[position].write);
+        if is_abandoned {
+            self.writes.swap_remove(position);
+        } else if loses_answer {
+            self.writes[position].state = WriteState::AnswerLost;
+        } else {
+            self.writes[position].state = WriteState::AnswerInTransit(version);
+        }
+    }
+
+    /// Handles a write that was not answered. The read that follows it may fail, too.
+    fn handle_missing_answer(&mut self, write: &Write) {
+        if !self.rng.random_bool(FAILED_READ_PROBABILITY) {
+            self.read_back(write);
+        } else if let Write::Commit(commit) = write {
+            self.scheduler.on_completion_commit_failed(&commit.job, None);
         }
     }
 
@@ -147,7 +171,7 @@
                 let generation = commit.record.generation;
                 let stored = match stored {
                     Some(stored) if stored.record.generation == generation => {
-                        Some((stored.record.clone(), stored.record.finished, stored.version))
+                        Some((stored.record, self.store.finished_tasks(id), stored.version))
                     }
                     Some(stored) if stored.record.owner.as_ref() == Some(&owner) => None,
                     _ => {
@@ -163,7 +187,7 @@
     /// Passes a stored claim to the scheduler.
     pub(super) fn apply_claim(&mut self, record: JobRecord, version: Revision) {
         let id = record.spec.id.clone();
-        let finished = record.finished.clone();
+        let finished = self.store.finished_tasks(&id);
         self.scheduler.on_job_claimed(record, finished, version, Duration::ZERO, self.now);
         if !self.store.jobs.contains_key(&id) {
             self.scheduler.close_job(&id);
--- a/crates/corkfield/src/leadership/completion_commits.rs
+++ b/crates/corkfield/src/leadership/completion_commits.rs
@@ -198,7 +198,7 @@
         let record: JobRecord = serde_json::from_value(item.value).ok()?;
         if record.generation != ours.generation && record.owner == ours.owner {
             // This leader has reclaimed the job after a back-off in the meantime. That claim passes
-            // the job to the scheduler again.
+            // the job to the scheduler again, with the finished tasks that the store has.
             return None;
         }
         if record.generation != ours.generation {
--- a/crates/corkfield/tests/scenarios/combined_faults/back_offs.rs
+++ b/crates/corkfield/tests/scenarios/combined_faults/back_offs.rs
@@ -7,9 +7,9 @@
 use corkfield::settings::Operator;
 use corkfield_fakes::{FakeWorker, Fault, JobPlan};
 use corkfield_http::Request;
-use corkfield_wire::records::JOBS_PREFIX;
+use corkfield_wire::records::{CHUNK_TASKS, JOBS_PREFIX};
 use corkfield_wire::store::{Change, Condition, Transaction, PATH_TXN};
-use corkfield_wire::JobSpec;
+use corkfield_wire::{Generation, JobSpec};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -215,3 +215,45 @@
         cluster.wait_until_done(&job.id, 90.0).await;
     });
 }
+
+/// Guards against a job that is answered as done while its tasks still run. A job with more than
+/// 1,024 tasks, which counts its finished tasks apart from their set, backs off while tasks of it
+/// complete. The store executes the completion commits and loses the answers. The leader claims the
+/// job again before it gives up the lost answer. Before the fix, the leader then counted the tasks
+/// of that commit a second time, and wrote the job as done when the count reached its tasks.
+#[test]
+fn a_large_job_that_is_claimed_again_amid_lost_answers_is_not_done_early() {
+    const MACHINES: u32 = 10;
+    const FAULTY_MACHINES: usize = 3;
+    const LOSS_S: f64 = 8.0;
+    for run_s in [2.0, 3.0, 4.0, 5.0] {
+        scenario(MACHINES, |cluster| async move {
+            cluster.cloud.capacity.set(MACHINES as usize);
+            let faulty: Vec<_> =
+                cluster.cloud.workers().into_iter().take(FAULTY_MACHINES).collect();
+            for worker in &faulty {
+                worker.is_faulty.set(true);
+            }
+            let lost = Rc::new(Cell::new(0));
+            let counter = lost.clone();
+            cluster.store.set_faults(move |request| {
+                if !is_completion_commit(request) {
+                    return Fault::None;
+                }
+                counter.set(counter.get() + 1);
+                Fault::LoseAnswer
+            });
+            let job = job_spec(1, CHUNK_TASKS + 76);
+            cluster.submit(&job, run_s).await;
+            sleep_s(LOSS_S).await;
+            cluster.store.clear_faults();
+            assert!(lost.get() > 0, "no answer was lost");
+            let generation = cluster.job_record(&job.id).expect("an unfinished job").generation;
+            assert!(generation > Generation::new(1), "the job was not claimed again");
+            for worker in &faulty {
+                worker.is_faulty.set(false);
+            }
+            cluster.wait_until_done(&job.id, 120.0).await;
+        });
+    }
+}
