Conclude from an unanswered claim only what each of its records shows in the store

Cause: a claim that was not answered was read back by one of its records. If that record named this leader and the expected generation, all records of the claim counted as written. But an earlier unanswered claim of the same job writes the same owner and generation. When that one was executed late, and the second one held one more job, the leader started tasks of a job that the store had unclaimed, with a start watermark of 0. The next leader saw that no task of it had ever started, so it did not wait for the machine (S7), and started the task, even under the same attempt number.

Fix: each record of the claim is read, and the leader continues from the record as stored and its own version, not from the one that it meant to write: the earlier claim may also have left the watermark of the same job lower. Jobs that are not confirmed are claimed again from what the replica shows. The decision is a function of the core (confirm_claim), which the random driver uses as well.

The random driver claims several jobs in one transaction, and checks each start against the stored generation and watermark. The two unit tests are of the new function.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 mod scaling;
 mod scheduler;
 mod team;
+mod unanswered_claim;
 
 pub use config::Config;
 pub use job::{Job, JobState, TaskPlacement};
@@ -28,3 +29,4 @@
     Action, CompletionCommit, DirectPurpose, DirectRequestTarget, Overview, Scheduler, Verdict,
 };
 pub use team::{check_schedulable, Unschedulable};
+pub use unanswered_claim::confirm_claim;
--- a/crates/core/src/scheduler/claims.rs
+++ b/crates/core/src/scheduler/claims.rs
@@ -134,8 +134,11 @@
         estimate_s = spec.estimate_s,
         deadline_s = spec.deadline_s,
         age_s = age.as_secs_f64(),
+        version = job.version.get(),
         generation = job.record.generation.get(),
         claims = job.record.claims,
+        start_watermark = job.record.start_watermark,
+        previous_start_watermark = job.record.previous_start_watermark,
         "job claimed"
     );
 }
--- a/crates/core/tests/scheduler/claims.rs
+++ b/crates/core/tests/scheduler/claims.rs
@@ -1,8 +1,8 @@
 //! Tests of which job records have to be claimed.
 
 use crate::support::{empty_scheduler, job_record};
-use corkfield_core::Scheduler;
-use corkfield_wire::records::JobRecord;
+use corkfield_core::{confirm_claim, Scheduler};
+use corkfield_wire::records::{JobRecord, Versioned};
 use corkfield_wire::{Generation, Incarnation, Revision, TaskSet};
 use std::time::{Duration, Instant};
 
@@ -61,3 +61,27 @@
     let late_claim = JobRecord { generation: Generation::new(3), ..our_record() };
     assert!(scheduler.needs_claim(&late_claim, LATER_VERSION));
 }
+
+/// Guards against starts that the next leader does not know of: a record that was read after an
+/// unanswered claim comes from an earlier claim of the same job, with a lower start watermark. The
+/// claim that was meant to be written must not be taken for stored.
+#[test]
+fn an_unanswered_claim_is_confirmed_as_the_store_holds_it() {
+    let meant = JobRecord { start_watermark: 128, ..our_record() };
+    let earlier = JobRecord { start_watermark: 0, ..our_record() };
+    let stored = Versioned { record: earlier, version: LATER_VERSION };
+    assert_eq!(confirm_claim(&meant, stored.clone()), Some(stored));
+}
+
+/// Guards against jobs that count as claimed because another job of the same claim is: each record
+/// is looked at on its own.
+#[test]
+fn an_unanswered_claim_is_not_confirmed_by_the_record_before_it() {
+    let unclaimed = JobRecord { owner: None, ..job_record(1, 1) };
+    let claimed_by_other = JobRecord { owner: Some("n1-7".into()), ..our_record() };
+    let later_claim = JobRecord { generation: Generation::new(3), ..our_record() };
+    for record in [unclaimed, claimed_by_other, later_claim] {
+        let stored = Versioned { record, version: LATER_VERSION };
+        assert_eq!(confirm_claim(&our_record(), stored.clone()), None, "{stored:?}");
+    }
+}
--- a/crates/core/tests/scheduler/random_faults/driver.rs
+++ b/crates/core/tests/scheduler/random_faults/driver.rs
@@ -218,7 +218,7 @@
     }
 
     /// Checks that starts carry the generation of their job's record and are below the start
-    /// watermark.
+    /// watermark, both as known to the scheduler and as stored.
     pub(super) fn check_orders(&self, orders: &[Order]) {
         for order in orders {
             let Order::Start { task, attempt } = order else { continue };
@@ -230,6 +230,17 @@
             let seed = self.seed;
             assert_eq!(attempt.generation(), record.generation, "seed {seed}: start of {task}");
             assert!(task.index < record.start_watermark, "seed {seed}: S7, start of {task}");
+            // The next leader knows only what is stored. Later claims never lower the watermark.
+            let Some(stored) = self.store.jobs.get(&task.job) else { continue };
+            let stored_watermark = stored.record.start_watermark;
+            assert!(
+                task.index < stored_watermark,
+                "seed {seed}: S7, start of {task} is not stored"
+            );
+            assert!(
+                attempt.generation() <= stored.record.generation,
+                "seed {seed}: start of {task} under a claim that is not stored"
+            );
         }
     }
 
--- a/crates/core/tests/scheduler/random_faults/store.rs
+++ b/crates/core/tests/scheduler/random_faults/store.rs
@@ -2,7 +2,7 @@
 //! tasks.
 
 use corkfield_core::CompletionCommit;
-use corkfield_wire::records::{JobRecord, MachineRecord, CHUNK_TASKS};
+use corkfield_wire::records::{JobRecord, MachineRecord, Versioned, CHUNK_TASKS};
 use corkfield_wire::{Incarnation, JobId, MachineName, Revision, TaskSet};
 use std::collections::BTreeMap;
 
@@ -13,11 +13,12 @@
     pub version: Revision,
 }
 
-/// A conditional write of one job's record.
+/// A conditional write of job records.
 #[derive(Clone)]
 pub enum Write {
-    /// A claim: the record to store, and the version that the write is conditional on.
-    Claim(Box<StoredJob>),
+    /// A claim of several jobs in one transaction: the records to store, each with the version that
+    /// the write is conditional on.
+    Claim(Vec<StoredJob>),
     /// A completion commit.
     Commit(Box<CompletionCommit>),
 }
@@ -63,6 +64,12 @@
         self.put(record);
     }
 
+    /// Returns a job's record with its version.
+    pub fn read(&self, id: &JobId) -> Option<Versioned<JobRecord>> {
+        let StoredJob { record, version } = self.jobs.get(id)?.clone();
+        Some(Versioned { record, version })
+    }
+
     /// Returns the stored finished tasks of a job.
     pub fn finished_tasks(&self, id: &JobId) -> TaskSet {
         let mut finished =
@@ -78,29 +85,40 @@
         self.jobs.get(id).is_some_and(|stored| stored.version == version)
     }
 
-    /// Applies a write if its condition holds. Returns the new version, or `None` if the write is
+    /// Applies a write if its conditions hold. Returns the new version, or `None` if the write is
     /// refused.
     pub fn apply(&mut self, write: &Write) -> Option<Revision> {
-        let (id, condition) = match write {
-            Write::Claim(claim) => (&claim.record.spec.id, claim.version),
-            Write::Commit(commit) => (&commit.job, commit.version),
-        };
-        if !self.is_stored_at(id, condition) {
+        match write {
+            Write::Claim(claims) => self.apply_claims(claims),
+            Write::Commit(commit) => self.apply_commit(commit),
+        }
+    }
+
+    fn apply_claims(&mut self, claims: &[StoredJob]) -> Option<Revision> {
+        if !claims.iter().all(|claim| self.is_stored_at(&claim.record.spec.id, claim.version)) {
             return None;
         }
-        match write {
-            Write::Commit(commit) if commit.completes_job => {
-                self.jobs.remove(id);
-                self.done.insert(id.clone(), commit.record.spec.tasks);
-                return Some(self.next_revision());
-            }
-            Write::Commit(commit) => {
-                let chunks = self.chunks.entry(id.clone()).or_default();
-                chunks.extend(commit.chunks.iter().cloned());
-                self.put(commit.record.clone());
-            }
-            Write::Claim(claim) => self.put(claim.record.clone()),
+        let version = self.next_revision();
+        for StoredJob { record, .. } in claims {
+            let stored = StoredJob { record: record.clone(), version };
+            self.jobs.insert(record.spec.id.clone(), stored);
+        }
+        Some(version)
+    }
+
+    fn apply_commit(&mut self, commit: &CompletionCommit) -> Option<Revision> {
+        let id = &commit.job;
+        if !self.is_stored_at(id, commit.version) {
+            return None;
+        }
+        if commit.completes_job {
+            self.jobs.remove(id);
+            self.done.insert(id.clone(), commit.record.spec.tasks);
+            return Some(self.next_revision());
         }
+        let chunks = self.chunks.entry(id.clone()).or_default();
+        chunks.extend(commit.chunks.iter().cloned());
+        self.put(commit.record.clone());
         Some(self.revision)
     }
 
@@ -112,7 +130,7 @@
         owner: &Incarnation,
         starts_soon: bool,
         claim_limit: u32,
-    ) -> Option<Write> {
+    ) -> Option<StoredJob> {
         let StoredJob { mut record, version } = self.jobs.get(id)?.clone();
         if record.start_watermark > 0 || starts_soon {
             record.claim(owner.clone());
@@ -120,6 +138,6 @@
             record.claim_keeping_start_watermark(owner.clone());
         }
         record.dead_lettered |= record.claims > claim_limit;
-        Some(Write::Claim(Box::new(StoredJob { record, version })))
+        Some(StoredJob { record, version })
     }
 }
--- a/crates/core/tests/scheduler/random_faults/writes.rs
+++ b/crates/core/tests/scheduler/random_faults/writes.rs
@@ -2,7 +2,8 @@
 
 use super::driver::Driver;
 use super::store::{StoredJob, Write};
-use corkfield_wire::records::JobRecord;
+use corkfield_core::confirm_claim;
+use corkfield_wire::records::{JobRecord, Versioned};
 use corkfield_wire::{JobId, Revision};
 use rand::seq::IteratorRandom;
 use rand::Rng;
@@ -10,6 +11,8 @@
 
 /// A job is dead-lettered if it is claimed more often than this without progress.
 const CLAIM_LIMIT: u32 = 4;
+/// Maximum number of jobs that are claimed with one transaction.
+const MAX_CLAIM_BATCH: usize = 3;
 /// Probability that a write is not answered.
 const LOST_ANSWER_PROBABILITY: f64 = 0.25;
 /// Probability that the leader gives up a lost answer when the write's turn comes. A timeout takes
@@ -39,7 +42,7 @@
 }
 
 impl Driver {
-    /// Begins the claim of a random job that must be claimed, unless a claim is in flight.
+    /// Begins the claim of some random jobs that must be claimed, unless a claim is in flight.
     pub(super) fn begin_claim(&mut self) {
         self.close_ended_jobs();
         let is_claim_in_flight =
@@ -47,19 +50,24 @@
         if is_claim_in_flight {
             return;
         }
-        let due = self.jobs_to_claim();
-        let Some(id) = due.into_iter().choose(&mut self.rng) else { return };
-        let starts_soon =
-            self.scheduler.may_start_soon(&self.store.jobs[&id].record.spec, self.now);
-        if let Some(write) = self.store.build_claim(&id, &self.owner(), starts_soon, CLAIM_LIMIT) {
+        let batch = self.rng.random_range(1..=MAX_CLAIM_BATCH);
+        let due = self.jobs_to_claim().into_iter().choose_multiple(&mut self.rng, batch);
+        let claims: Vec<StoredJob> = due.iter().filter_map(|id| self.build_claim(id)).collect();
+        if !claims.is_empty() {
             self.writes.push(PendingWrite {
-                write,
+                write: Write::Claim(claims),
                 state: WriteState::RequestInTransit,
                 is_abandoned: false,
             });
         }
     }
 
+    fn build_claim(&self, id: &JobId) -> Option<StoredJob> {
+        let spec = &self.store.jobs.get(id)?.record.spec;
+        let starts_soon = self.scheduler.may_start_soon(spec, self.now);
+        self.store.build_claim(id, &self.owner(), starts_soon, CLAIM_LIMIT)
+    }
+
     /// Closes jobs that the store no longer holds, and updates which jobs are not claimed yet.
     pub(super) fn close_ended_jobs(&mut self) {
         let Self { scheduler, store, .. } = self;
@@ -141,7 +149,11 @@
 
     pub(super) fn handle_write_answer(&mut self, write: &Write, version: Option<Revision>) {
         match (write, version) {
-            (Write::Claim(claim), Some(version)) => self.apply_claim(claim.record.clone(), version),
+            (Write::Claim(claims), Some(version)) => {
+                for claim in claims {
+                    self.apply_claim(claim.record.clone(), version);
+                }
+            }
             (Write::Claim(_), None) => {}
             (Write::Commit(commit), Some(version)) => {
                 self.scheduler.on_completion_committed(commit, version);
@@ -155,14 +167,14 @@
     pub(super) fn read_back(&mut self, write: &Write) {
         let owner = self.owner();
         match write {
-            Write::Claim(claim) => {
-                let Some(stored) = self.store.jobs.get(&claim.record.spec.id).cloned() else {
-                    return;
-                };
-                let is_ours = stored.record.owner == claim.record.owner
-                    && stored.record.generation == claim.record.generation;
-                if is_ours {
-                    self.apply_claim(claim.record.clone(), stored.version);
+            Write::Claim(claims) => {
+                for claim in claims {
+                    let Some(stored) = self.store.read(&claim.record.spec.id) else { continue };
+                    if let Some(Versioned { record, version }) =
+                        confirm_claim(&claim.record, stored)
+                    {
+                        self.apply_claim(record, version);
+                    }
                 }
             }
             Write::Commit(commit) => {
--- a/crates/corkfield/src/leadership/claims.rs
+++ b/crates/corkfield/src/leadership/claims.rs
@@ -6,12 +6,14 @@
 use super::state::SharedScheduler;
 use crate::clock::{now, unix_time_ms};
 use crate::store_value::{serialized_bytes, store_value};
+use corkfield_core::confirm_claim;
 use corkfield_state::{RequestClass, StateError};
 use corkfield_wire::records::{controller_key, job_key, JobRecord, Versioned};
 use corkfield_wire::store::Transaction;
 use corkfield_wire::{JobId, Revision, TaskSet};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::JoinSet;
 
 /// Interval at which the replica is checked for job records to claim. A change in the replica
 /// triggers the check earlier.
@@ -33,13 +35,6 @@
     Failed,
 }
 
-/// Job records claimed with one transaction.
-struct StoredClaim {
-    records: Vec<JobRecord>,
-    /// Version that the transaction gave to all records.
-    version: Revision,
-}
-
 /// A stored job record that this leader claimed, with the job's finished tasks.
 pub(super) struct ClaimedJob {
     /// The record as stored.
@@ -84,11 +79,14 @@
         if due.is_empty() {
             return ClaimBatchOutcome::AllClaimed;
         }
-        let Some(claim) = self.claim_records(due).await else {
+        let batch_len = due.len();
+        let claimed = self.claim_records(due).await;
+        if claimed.is_empty() {
             return ClaimBatchOutcome::Failed;
-        };
-        self.register_claimed_jobs(claim);
-        if has_more_due {
+        }
+        let is_partly_claimed = claimed.len() < batch_len;
+        self.register_claimed_jobs(claimed);
+        if has_more_due || is_partly_claimed {
             ClaimBatchOutcome::MoreDue
         } else {
             ClaimBatchOutcome::AllClaimed
@@ -134,9 +132,9 @@
         truncate_to_bytes(due, MAX_TRANSACTION_BYTES);
     }
 
-    /// Claims a batch of records with one conditional transaction. Returns `None` if the claim was
-    /// refused or its outcome is unknown.
-    async fn claim_records(&self, batch: Vec<Versioned<JobRecord>>) -> Option<StoredClaim> {
+    /// Claims a batch of records with one conditional transaction. Returns the records that are
+    /// known to be claimed: none if the claim was refused or its outcome is unknown.
+    async fn claim_records(&self, batch: Vec<Versioned<JobRecord>>) -> Vec<Versioned<JobRecord>> {
         let own_key = controller_key(self.context.env.name.as_str());
         let mut transaction =
             self.leader_transaction().when(own_key, self.claim.membership.membership_version);
@@ -147,14 +145,12 @@
             transaction = transaction.when(key.clone(), job.version).put(key, store_value(&record));
             records.push(record);
         }
-        let version = self.store_claim(&transaction, &records).await?;
-        Some(StoredClaim { records, version })
+        self.store_claim(&transaction, records).await
     }
 
     /// Passes claimed jobs to the scheduler, after reading finished tasks stored in chunks.
-    fn register_claimed_jobs(&self, claim: StoredClaim) {
-        let version = claim.version;
-        for record in claim.records {
+    fn register_claimed_jobs(&self, claimed: Vec<Versioned<JobRecord>>) {
+        for Versioned { record, version } in claimed {
             if record.is_chunked() && record.finished_count > 0 {
                 self.load_finished_tasks(record, version);
             } else {
@@ -184,34 +180,39 @@
         record
     }
 
-    /// Runs the transaction of a claim and returns the version of the claimed records. Returns
-    /// `None` if the claim was refused or its outcome is unknown.
+    /// Runs the transaction of a claim. Returns the claimed records with the versions that the store
+    /// gave them: none if the claim was refused or its outcome is unknown.
     async fn store_claim(
         &self,
         transaction: &Transaction,
-        claimed: &[JobRecord],
-    ) -> Option<Revision> {
+        claimed: Vec<JobRecord>,
+    ) -> Vec<Versioned<JobRecord>> {
         let env = &self.context.env;
         match env.state.commit(RequestClass::Claim, transaction).await {
-            Ok(version) => Some(version),
-            Err(StateError::NoResponse(_)) => self.read_back_claim(claimed.first()?).await,
+            Ok(version) => {
+                claimed.into_iter().map(|record| Versioned { record, version }).collect()
+            }
+            Err(StateError::NoResponse(error)) => {
+                tracing::debug!(jobs = claimed.len(), %error, "claim not answered");
+                self.read_back_claims(claimed).await
+            }
             Err(error) => {
                 tracing::debug!(jobs = claimed.len(), %error, "claim failed");
                 env.sleep_random(50..150).await;
-                None
+                Vec::new()
             }
         }
     }
 
-    /// Reads back one record of a claim that was not answered. If the claim was carried out,
-    /// returns the version of that record, which all records of the claim have, as they share one
-    /// transaction.
-    async fn read_back_claim(&self, record: &JobRecord) -> Option<Revision> {
-        let key = job_key(&record.spec.id);
-        let item = self.context.env.state.get(RequestClass::Claim, &key).await.ok()??;
-        let found: JobRecord = serde_json::from_value(item.value).ok()?;
-        let is_ours = found.owner == record.owner && found.generation == record.generation;
-        is_ours.then_some(item.version)
+    /// Reads back all records of a claim that was not answered. Returns the stored records of the
+    /// jobs that this leader has claimed. Of the others nothing is known: they are claimed again
+    /// from what the replica shows.
+    async fn read_back_claims(&self, claimed: Vec<JobRecord>) -> Vec<Versioned<JobRecord>> {
+        let mut reads = JoinSet::new();
+        for record in claimed {
+            reads.spawn_local(read_back_claim(self.context.clone(), record));
+        }
+        reads.join_all().await.into_iter().flatten().collect()
     }
 
     /// Reads a claimed job's finished tasks in the background, then passes the job to the
@@ -237,6 +238,23 @@
     }
 }
 
+/// Reads back one record of a claim that was not answered. Returns the stored record if it shows
+/// this leader's claim, and `None` if it does not or can't be read.
+async fn read_back_claim(
+    context: Rc<LeadershipContext>,
+    claimed: JobRecord,
+) -> Option<Versioned<JobRecord>> {
+    let key = job_key(&claimed.spec.id);
+    let item = context.env.state.get(RequestClass::Claim, &key).await.ok()??;
+    let record: JobRecord = serde_json::from_value(item.value).ok()?;
+    let (job, version, generation) =
+        (record.spec.id.clone(), item.version.get(), record.generation.get());
+    let confirmed = confirm_claim(&claimed, Versioned { record, version: item.version });
+    let is_ours = confirmed.is_some();
+    tracing::debug!(%job, version, generation, is_ours, "claim not answered; record read");
+    confirmed
+}
+
 /// Passes a claimed job to the scheduler.
 fn register_claimed_job(context: &LeadershipContext, scheduler: &SharedScheduler, job: ClaimedJob) {
     let ClaimedJob { record, finished, version } = job;
--- a/crates/corkfield/tests/scenarios/combined_faults/leader_changes.rs
+++ b/crates/corkfield/tests/scenarios/combined_faults/leader_changes.rs
@@ -1,9 +1,11 @@
 //! Leader changes combined with outages, partitions, hung machines and cancellations.
 
-use crate::cluster::{job_spec, scenario, sleep_s, task_id, CONTROLLERS, LEASE_S};
+use crate::cluster::{is_job_claim, job_spec, scenario, sleep_s, task_id, CONTROLLERS, LEASE_S};
 use corkfield_fakes::Fault;
 use corkfield_wire::store::{PATH_RENEW, PATH_WATCH};
 use corkfield_wire::JobStatus;
+use std::cell::Cell;
+use std::rc::Rc;
 
 #[test]
 fn ten_leader_changes_in_two_minutes_lose_no_job_and_violate_no_safety_rule() {
@@ -338,3 +340,48 @@
         });
     }
 }
+
+/// Guards against a task that runs on two machines after a failover. Two claims in a row are not
+/// answered; the first is executed late, the second, which holds one more job, is not. Before the
+/// fix, the leader read one record, took the whole second claim as executed, and started a task of
+/// the job that only the second claim holds. The next leader found no trace of that start, and
+/// started the task again while the first machine hung.
+#[test]
+fn a_job_is_not_started_under_a_claim_that_only_an_earlier_one_resembles() {
+    const FIRST_DELAY_S: f64 = 2.5;
+    const SECOND_DELAY_S: f64 = 9.0;
+    scenario(4, |cluster| async move {
+        let claims = Rc::new(Cell::new(0));
+        let counter = claims.clone();
+        cluster.store.set_faults(move |request| {
+            if !is_job_claim(request) {
+                return Fault::None;
+            }
+            counter.set(counter.get() + 1);
+            match counter.get() {
+                1 => Fault::DelayAndLoseAnswer(FIRST_DELAY_S),
+                2 => Fault::DelayAndLoseAnswer(SECOND_DELAY_S),
+                _ => Fault::None,
+            }
+        });
+        let (first, second) = (job_spec(1, 1), job_spec(2, 1));
+        cluster.submit(&first, 30.0).await;
+        sleep_s(0.5).await;
+        cluster.submit(&second, 30.0).await;
+        let task = task_id(&second, 0);
+        while cluster.history.machine_of(&task).is_none() {
+            sleep_s(0.01).await;
+            assert!(claims.get() < 20, "the job is claimed again and again");
+        }
+        let worker = cluster.worker_of(&task);
+        worker.set_hung(true);
+        cluster.restart_controller(cluster.leader(), 1.0).await;
+        // The task runs on all the while, unless the next leader returns the machine first.
+        sleep_s(LEASE_S / 2.0).await;
+        worker.set_hung(false);
+        cluster.store.clear_faults();
+        assert!(claims.get() >= 2, "no second claim was made");
+        cluster.wait_until_done(&first.id, 90.0).await;
+        cluster.wait_until_done(&second.id, 90.0).await;
+    });
+}
