Random driver: jobs that are claimed again before the answer of a commit is given up

An answer that is lost is given up after a timeout, in which a back-off may end. The driver applies a commit of a job that backs off, loses its answer, and lets the leader claim the job before it gives up the answer. Large jobs are stored with their second chunk never started, so that they need not wait for reconciliation.

--- a/crates/core/tests/scheduler/random_faults/driver.rs
+++ b/crates/core/tests/scheduler/random_faults/driver.rs
@@ -126,6 +126,8 @@
             _ => {
                 if self.rng.random_bool(0.3) {
                     self.change_leader();
+                } else {
+                    self.claim_random_job_amid_lost_commit();
                 }
             }
         }
--- a/crates/core/tests/scheduler/random_faults/jobs.rs
+++ b/crates/core/tests/scheduler/random_faults/jobs.rs
@@ -45,9 +45,9 @@
     }
 
     /// Stores a large job as an earlier leader left it: released, with few tasks unfinished, so that
-    /// the machines of one run can finish it.
+    /// the machines of one run can finish it. Tasks of the second chunk were never started.
     fn store_nearly_finished(&mut self, mut record: JobRecord) {
-        record.start_watermark = record.spec.tasks;
+        record.start_watermark = CHUNK_TASKS;
         let mut finished = TaskSet::default();
         let unfinished_in_first_chunk = self.rng.random_range(0..6);
         for index in unfinished_in_first_chunk..CHUNK_TASKS {
--- a/crates/core/tests/scheduler/random_faults/mod.rs
+++ b/crates/core/tests/scheduler/random_faults/mod.rs
@@ -7,6 +7,7 @@
 mod driver;
 mod invariants;
 mod jobs;
+mod lost_commits;
 mod machines;
 mod restarts;
 mod store;
@@ -18,7 +19,7 @@
 /// Number of steps of one run before the faults end.
 const STEPS: u32 = 1500;
 /// Seeds of the test that runs by default.
-const CI_SEEDS: std::ops::Range<u64> = 0..400;
+const CI_SEEDS: std::ops::Range<u64> = 0..600;
 /// Seeds of the ignored test, unless [`SEEDS_VARIABLE`] sets others.
 const MANY_SEEDS: std::ops::Range<u64> = 1_000..5_000;
 /// Environment variable that sets the seeds of the ignored test: the first seed and the one after
--- a/crates/core/tests/scheduler/random_faults/writes.rs
+++ b/crates/core/tests/scheduler/random_faults/writes.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    fn build_claim(&self, id: &JobId) -> Option<StoredJob> {
+    pub(super) fn build_claim(&self, id: &JobId) -> Option<StoredJob> {
         let spec = &self.store.jobs.get(id)?.record.spec;
         let starts_soon = self.scheduler.may_start_soon(spec, self.now);
         self.store.build_claim(id, &self.owner(), starts_soon, CLAIM_LIMIT)
