Adopt a raise of the own term that was executed but not answered

What callers would see: accepted jobs wait for as long as the leader leads, and machines that it rents get no tasks.

Cause: when a worker reports a higher term, the leader writes its record again under a higher one. If that write was executed and not answered, the leader kept the version before it. All its writes (claims, machine records, hand-over, the raise itself) are conditional on the version of the leader record, so each was refused. It did not count as replaced either, as the record is its own.

Evidence: the new scenario on the sources before: the job is unclaimed after 40 s, the leader record names the same controller under the raised term.

Fix: a leader record of the own incarnation with a later version than the known one can only be the own raise, as incarnations are unique to a lease and nothing else writes the record meanwhile. Its version and term are adopted from the replica. A raise that is executed late is refused by then.

Test, seen to fail before: a_leader_continues_after_the_answer_to_a_raise_of_its_term_is_lost.

--- a/crates/corkfield/src/leadership/fencing.rs
+++ b/crates/corkfield/src/leadership/fencing.rs
@@ -7,7 +7,7 @@
 use crate::store_value::store_value;
 use corkfield_core::DirectRequestTarget;
 use corkfield_state::RequestClass;
-use corkfield_wire::records::{LeaderRecord, LEADER_KEY};
+use corkfield_wire::records::{LeaderRecord, Versioned, LEADER_KEY};
 use corkfield_wire::{MachineName, Term};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -87,6 +87,7 @@
     /// Raises the term whenever a worker has reported a higher one, in an endless loop.
     pub(super) async fn raise_term_when_exceeded(&self) {
         loop {
+            self.adopt_unanswered_raise();
             let highest_seen = self.context.leadership.highest_seen_term();
             let term = self.scheduler.borrow().term();
             if highest_seen <= term {
@@ -97,6 +98,21 @@
         }
     }
 
+    /// Adopts the leader record in the replica if this leader wrote it later than the version that it
+    /// knows: a raise of the term was executed but not answered. All writes of the leader are
+    /// conditional on the version, so with the earlier one they would all be refused.
+    fn adopt_unanswered_raise(&self) {
+        let contents = self.context.replica.contents.borrow();
+        let Some(Versioned { record, version }) = &contents.leader else { return };
+        let is_ours = record.incarnation == self.claim.membership.incarnation;
+        if is_ours && *version > self.claim.record_version.get() {
+            let (term, version) = (record.term, *version);
+            tracing::info!(term = term.get(), version = version.get(), "raised term adopted");
+            self.claim.record_version.set(version);
+            self.scheduler.borrow_mut().raise_term(term);
+        }
+    }
+
     /// Writes the leader record with a higher term, then raises the scheduler's term.
     async fn raise_term_to(&self, term: Term) {
         let record = LeaderRecord {
--- a/crates/corkfield/tests/scenarios/combined_faults/lost_answers.rs
+++ b/crates/corkfield/tests/scenarios/combined_faults/lost_answers.rs
@@ -20,6 +20,7 @@
     Completion,
     MachineRecord,
     HandOver,
+    TermRaise,
     ControllerRecord,
 }
 
@@ -39,6 +40,7 @@
             }
             TransactionKind::MachineRecord => key.starts_with(MACHINE_RECORDS_PREFIX),
             TransactionKind::HandOver => key == LEADER_KEY && value["successor"].is_string(),
+            TransactionKind::TermRaise => key == LEADER_KEY && value["node"].is_string(),
             TransactionKind::ControllerRecord => key.starts_with(CONTROLLERS_PREFIX),
         }
     })
@@ -128,6 +130,28 @@
     });
 }
 
+/// Guards against a leader whose writes are all refused for good. A worker reports a higher term; the
+/// store executes the write that raises the leader's term and loses the answer. Before the fix, the
+/// leader kept the earlier version of its own record, on which all of its writes are conditional:
+/// it claimed no job, and could not raise its term either.
+#[test]
+fn a_leader_continues_after_the_answer_to_a_raise_of_its_term_is_lost() {
+    scenario(2, |cluster| async move {
+        let before = cluster.elected_leader().expect("there is a leader");
+        let lost = lose_answers(&cluster, TransactionKind::TermRaise, 1);
+        let seen = before.term.next().next();
+        cluster.cloud.workers()[0].see_term(seen);
+        sleep_s(LEASE_S).await;
+        assert_eq!(lost.get(), 1, "one answer was lost");
+        let after = cluster.elected_leader().expect("there is a leader");
+        assert_eq!(after.controller, before.controller);
+        assert!(after.term > seen, "the term was raised");
+        let job = job_spec(1, 20);
+        cluster.submit(&job, 2.0).await;
+        cluster.wait_until_done(&job.id, 40.0).await;
+    });
+}
+
 /// Polls the status of a job at all controllers in turn, every 50 ms. The execution history records
 /// a violation when an answer is older than one given before.
 async fn poll_all_controllers(cluster: &Rc<Cluster>, id: &corkfield_wire::JobId, seconds: f64) {
--- a/crates/fakes/src/worker/mod.rs
+++ b/crates/fakes/src/worker/mod.rs
@@ -170,6 +170,12 @@
         self.sent_heartbeats.borrow().iter().cloned().collect()
     }
 
+    /// Makes the worker see a term, as if a controller had sent it.
+    pub fn see_term(&self, term: Term) {
+        let mut state = self.state.borrow_mut();
+        state.term = state.term.max(term);
+    }
+
     /// Returns the highest term that the worker has seen.
     pub fn term(&self) -> Term {
         self.state.borrow().term
