Log finished tasks that can't be read

A chunk of finished tasks that can't be parsed was passed over in silence. Its tasks count as unfinished as before: they run again, and the next commit rewrites the chunk. The log now names it.

--- a/crates/corkfield/src/leadership/completion_commits.rs
+++ b/crates/corkfield/src/leadership/completion_commits.rs
@@ -226,8 +226,10 @@
     let (items, _) = state.list(RequestClass::Claim, &finished_tasks_prefix(id)).await.ok()?;
     let mut finished = TaskSet::default();
     for item in items {
-        if let Ok(chunk) = serde_json::from_value::<TaskSet>(item.value) {
-            finished.extend(&chunk);
+        match serde_json::from_value::<TaskSet>(item.value) {
+            Ok(chunk) => finished.extend(&chunk),
+            // Its tasks count as unfinished: they run again, and the next commit rewrites the chunk.
+            Err(error) => tracing::error!(key = item.key, %error, "unreadable finished tasks"),
         }
     }
     Some(finished)
