--- a/review/cluster-2/src/cases/mod.rs
+++ b/review/cluster-2/src/cases/mod.rs
@@ -3,6 +3,7 @@
 mod cut_node;
 mod random_troubles;
 mod slow_state;
+mod tiny_tasks;
 
 use crate::record::Record;
 use crate::world::Poll;
@@ -31,6 +32,7 @@
 ) -> std::io::Result<Outcome> {
     match case {
         "cut-node" => cut_node::run(root, folder, record, has_trouble).await,
+        "tiny-tasks" => tiny_tasks::run(root, folder, record, has_trouble).await,
         "slow-state" => slow_state::run(root, folder, record, has_trouble).await,
         "random-troubles" => random_troubles::run(root, folder, record, has_trouble).await,
         _ => Err(std::io::Error::other(format!("no case {case}"))),
