--- a/review/cluster-2/src/cloud.rs
+++ b/review/cluster-2/src/cloud.rs
@@ -44,6 +44,7 @@
     next: Cell<u32>,
     hosts: RefCell<BTreeMap<String, Rented>>,
     bookings: RefCell<BTreeMap<String, Vec<String>>>,
+    booked: RefCell<Vec<(String, usize)>>,
 }
 
 impl Cloud {
@@ -66,6 +67,7 @@
             next: Cell::new(1),
             hosts: RefCell::default(),
             bookings: RefCell::default(),
+            booked: RefCell::default(),
         });
         let handled = cloud.clone();
         let handler = move |request| handled.clone().answer(request);
@@ -128,6 +130,24 @@
         up.filter_map(|host| host.worker.clone()).collect()
     }
 
+    /// The cloud takes a spot machine back, without a notice.
+    pub fn take_back(&self, name: &str) {
+        let mut hosts = self.hosts.borrow_mut();
+        let Some(host) = hosts.get_mut(name) else { return };
+        host.gone_at = Some(Instant::now());
+        let worker = host.worker.take();
+        drop(hosts);
+        self.record.note(format!("cloud: {name} taken back"));
+        if let Some(worker) = worker {
+            worker.delete();
+        }
+    }
+
+    /// Returns the bookings so far: their machine types, and how many machines each brought.
+    pub fn booked(&self) -> Vec<(String, usize)> {
+        self.booked.borrow().clone()
+    }
+
     /// A machine dies, with all that is on it; it is listed for 30 s more.
     pub fn kill_host(self: &Rc<Self>, name: &str) {
         let worker = self.hosts.borrow_mut().get_mut(name).and_then(|host| host.worker.clone());
@@ -194,7 +214,8 @@
         let loaners = request["loaners"].as_bool().unwrap_or(false);
         let names: Vec<String> =
             (0..number).map(|_| self.add_host(flavour, site, loaners, boot_s)).collect();
-        self.record.note(format!("cloud: booking {booking}: {names:?}"));
+        self.record.note(format!("cloud: booking {booking} of {flavour}: {names:?}"));
+        self.booked.borrow_mut().push((flavour.to_owned(), names.len()));
         self.bookings.borrow_mut().insert(booking, names.clone());
         json_response(200, &json!({"hosts": names}))
     }
--- a/review/cluster-2/src/cluster.rs
+++ b/review/cluster-2/src/cluster.rs
@@ -34,8 +34,8 @@
     pub cloud_rps: f64,
     pub list_lag_s: f64,
     pub flavours: Vec<Flavour>,
-    /// Flavour and site of each machine that is up at the start.
-    pub machines: Vec<(&'static str, &'static str)>,
+    /// Flavour and site of each machine that is up at the start, and whether it is a spot machine.
+    pub machines: Vec<(&'static str, &'static str, bool)>,
     pub capacity: usize,
 }
 
@@ -71,13 +71,13 @@
                 flavour("bhari", 32.0, 128.0, 2.2, 0.63, 35.0),
             ],
             machines: vec![
-                ("chhota", "lahore"),
-                ("chhota", "karachi"),
-                ("chhota", "lahore"),
-                ("chhota", "karachi"),
-                ("darmiyana", "lahore"),
-                ("darmiyana", "karachi"),
-                ("chhota", "lahore"),
+                ("chhota", "lahore", false),
+                ("chhota", "karachi", false),
+                ("chhota", "lahore", false),
+                ("chhota", "karachi", false),
+                ("darmiyana", "lahore", false),
+                ("darmiyana", "karachi", false),
+                ("chhota", "lahore", false),
             ],
             capacity: 28,
         }
@@ -99,7 +99,7 @@
         };
         Self {
             controllers: 3,
-            machines: sites.iter().map(|site| ("estante", *site)).collect(),
+            machines: sites.iter().map(|site| ("estante", *site, false)).collect(),
             sites,
             teams: vec![("metadatos", 0.0, 0.0), ("indexacion", 0.0, 0.0), ("prestamos", 0.0, 0.0)],
             report_s: 3.0,
@@ -206,8 +206,8 @@
             plan.capacity,
         )
         .await?;
-        for (flavour, site) in &plan.machines {
-            cloud.add_host(flavour, site, false, 0.2);
+        for (flavour, site, loaners) in &plan.machines {
+            cloud.add_host(flavour, site, *loaners, 0.2);
         }
         let mut controllers: Vec<Rc<Controller>> = Vec::new();
         for (n, name) in names.iter().enumerate() {
--- a/review/cluster-2/src/worker.rs
+++ b/review/cluster-2/src/worker.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the worker of one machine, after the protocol page.
 
 use crate::http1::{exchange, Answer};
-use crate::world::{split_piece, World};
+use crate::world::{split_piece, Job, World};
 use corkfield_http::net::LocalFuture;
 use corkfield_http::{serve, Limits, Listener, Request, Response, Stream};
 use serde_json::{json, Value};
@@ -18,6 +18,7 @@
 const MIN_REPORT_PAUSE: Duration = Duration::from_millis(500);
 const STEP: Duration = Duration::from_millis(50);
 const FETCH_S: f64 = 0.3;
+const FAILING_RUN_S: f64 = 0.2;
 
 /// What a worker knows of its machine and of the controllers.
 #[derive(Debug, Clone)]
@@ -57,6 +58,7 @@
 struct Task {
     phase: Phase,
     ends_at: Instant,
+    will_fail: bool,
     cause: &'static str,
     stored: bool,
 }
@@ -94,6 +96,10 @@
     /// The controllers that the worker reaches and that reach it; `None`: all.
     reachable: RefCell<Option<Vec<SocketAddr>>>,
     process: Cell<u32>,
+    /// How many times as long as usual the tasks run that start now.
+    pub slowdown: Cell<f64>,
+    /// Whether every task that starts now fails.
+    pub is_faulty: Cell<bool>,
 }
 
 struct Bound(TcpListener);
@@ -145,6 +151,8 @@
             kept_reports: RefCell::default(),
             reachable: RefCell::default(),
             process: Cell::new(0),
+            slowdown: Cell::new(1.0),
+            is_faulty: Cell::new(false),
         });
         let properties = json!({"site": worker.machine.site, "flavour": worker.machine.flavour,
             "loaners": worker.machine.loaners});
@@ -193,6 +201,18 @@
         self.changed.notify_one();
     }
 
+    /// Returns whether the machine has room for one more task of the job.
+    pub fn has_room_for(&self, job: &Job) -> bool {
+        let state = self.state.borrow();
+        let live = state.tasks.iter().filter(|(_, task)| task.phase != Phase::Exited);
+        let jobs: Vec<Job> =
+            live.filter_map(|(key, _)| self.world.job(&split_piece(&key.0).0)).collect();
+        let used = |field: &str| jobs.iter().map(|on| on.number(field)).sum::<f64>();
+        !self.is_gone.get()
+            && used("vcpus") + job.number("vcpus") <= self.machine.vcpus
+            && used("mem_gb") + job.number("mem_gb") <= self.machine.mem_gb
+    }
+
     pub fn task_count(&self) -> usize {
         self.state.borrow().tasks.len()
     }
@@ -508,6 +528,7 @@
         let task = Task {
             phase: if refusal.is_some() { Phase::Exited } else { Phase::Fetching },
             ends_at: Instant::now() + Duration::from_secs_f64(FETCH_S),
+            will_fail: false,
             cause: refusal.unwrap_or(""),
             stored: false,
         };
@@ -589,14 +610,18 @@
             Phase::Fetching => {
                 let run_s = self.world.job(&split_piece(piece).0).map_or(1.0, |job| job.run_s);
                 task.phase = Phase::Running;
-                task.ends_at = Instant::now() + Duration::from_secs_f64(run_s);
+                task.will_fail = self.is_faulty.get();
+                let run_s = if task.will_fail { FAILING_RUN_S } else { run_s };
+                task.ends_at =
+                    Instant::now() + Duration::from_secs_f64(run_s * self.slowdown.get());
                 drop(state);
                 self.world.on_start(piece, *attempt, name);
             }
             Phase::Running => {
-                (task.phase, task.cause) = (Phase::Exited, "done");
+                let cause = if task.will_fail { "error" } else { "done" };
+                (task.phase, task.cause) = (Phase::Exited, cause);
                 drop(state);
-                self.world.on_end(piece, name, "done");
+                self.world.on_end(piece, name, cause);
             }
             Phase::Saving => {
                 (task.phase, task.cause, task.stored) = (Phase::Exited, "halted", true);
