--- a/review/cluster-2/src/cases/mod.rs
+++ b/review/cluster-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod cut_node;
+mod failed_once;
 mod large_tasks;
 mod random_troubles;
 mod slow_state;
@@ -33,6 +34,7 @@
     has_trouble: bool,
 ) -> std::io::Result<Outcome> {
     match case {
+        "failed-once" => failed_once::run(root, folder, record, has_trouble).await,
         "large-tasks" => large_tasks::run(root, folder, record, has_trouble).await,
         "cut-node" => cut_node::run(root, folder, record, has_trouble).await,
         "slow-state" => slow_state::run(root, folder, record, has_trouble).await,
