--- a/review/cluster-2/src/cases/mod.rs
+++ b/review/cluster-2/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod failed_once;
 mod large_tasks;
 mod random_troubles;
+mod slow_machines;
 mod slow_state;
 
 use crate::cluster::Cluster;
@@ -37,6 +38,7 @@
         "failed-once" => failed_once::run(root, folder, record, has_trouble).await,
         "large-tasks" => large_tasks::run(root, folder, record, has_trouble).await,
         "cut-node" => cut_node::run(root, folder, record, has_trouble).await,
+        "slow-machines" => slow_machines::run(root, folder, record, has_trouble).await,
         "slow-state" => slow_state::run(root, folder, record, has_trouble).await,
         "random-troubles" => random_troubles::run(root, folder, record, has_trouble).await,
         _ => Err(std::io::Error::other(format!("no case {case}"))),
