Second review, case 6: one failed task leaves a machine nearly unused

The earlier review already shows a job that waits beside the machine on which it failed (`left-waiting`), so that case is dropped.

Adds the case with its script.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # See claim.txt.
-exec "$(dirname "$0")/../run-case-2.sh" 6 failed-once
+exec "$(dirname "$0")/../run-case-2.sh" 6 limited-machine
--- a/review/cluster-2/src/cases/mod.rs
+++ b/review/cluster-2/src/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases.
 
 mod cut_node;
-mod failed_once;
 mod large_tasks;
+mod limited_machine;
 mod random_troubles;
 mod slow_machines;
 mod slow_state;
@@ -35,8 +35,8 @@
     has_trouble: bool,
 ) -> std::io::Result<Outcome> {
     match case {
-        "failed-once" => failed_once::run(root, folder, record, has_trouble).await,
         "large-tasks" => large_tasks::run(root, folder, record, has_trouble).await,
+        "limited-machine" => limited_machine::run(root, folder, record, has_trouble).await,
         "cut-node" => cut_node::run(root, folder, record, has_trouble).await,
         "slow-machines" => slow_machines::run(root, folder, record, has_trouble).await,
         "slow-state" => slow_state::run(root, folder, record, has_trouble).await,
