--- a/review/cluster-2/src/cases/mod.rs
+++ b/review/cluster-2/src/cases/mod.rs
@@ -6,6 +6,7 @@
 mod random_troubles;
 mod slow_machines;
 mod slow_state;
+mod tiny_tasks;
 
 use crate::cluster::Cluster;
 use crate::record::Record;
@@ -38,6 +39,7 @@
         "large-tasks" => large_tasks::run(root, folder, record, has_trouble).await,
         "limited-machine" => limited_machine::run(root, folder, record, has_trouble).await,
         "slow-machines" => slow_machines::run(root, folder, record, has_trouble).await,
+        "tiny-tasks" => tiny_tasks::run(root, folder, record, has_trouble).await,
         // The others are no cases: they go beyond the pages' limits, or look for faults.
         "cut-node" => cut_node::run(root, folder, record, has_trouble).await,
         "slow-state" => slow_state::run(root, folder, record, has_trouble).await,
