Report jobs that wait while nothing is on its way for them

Neither logs nor the overview say why: whether the task is still taken to be on the lost machine, whether offers back off after refusals, whether a request is in flight that never comes, or whether scaling takes other machines for room.

It decides nothing by it yet. A job that has had no placed task for 30 s, whose team is under its limit and for whose shape there is no such room, is counted in the overview and named at `warn` with one of four reasons.

The room of a machine (`Machine::task_room`) is one definition, which placement uses as well. Its decisions are unchanged, but that reservations for urgent tasks count GPUs too.

Test: a_job_for_which_nothing_is_on_its_way_is_reported_with_the_reason.

--- a/crates/core/src/job/failures.rs
+++ b/crates/core/src/job/failures.rs
@@ -37,6 +37,11 @@
         self.machines.clear();
     }
 
+    /// Returns the machines on which tasks have failed.
+    pub(crate) fn machines(&self) -> &[MachineName] {
+        &self.machines
+    }
+
     /// Returns whether tasks have failed on the machine.
     pub(super) fn contains_machine(&self, machine: &str) -> bool {
         self.machines.iter().any(|failed_on| failed_on.as_str() == machine)
--- a/crates/core/src/job/mod.rs
+++ b/crates/core/src/job/mod.rs
@@ -176,7 +176,7 @@
     }
 
     /// Returns the number of placed tasks.
-    fn placed_count(&self) -> u32 {
+    pub(crate) fn placed_count(&self) -> u32 {
         u32::try_from(self.placements.len()).unwrap_or(u32::MAX)
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,7 +24,7 @@
     Machine, MachineState, MachineTask, MachineTaskState, MessageNumber, MessageOrigin,
     PendingDirectRequest, Reachability, RecordState,
 };
-pub use scaling::RentalFailure;
+pub use scaling::{RentalFailure, SupplyGap, UnsuppliedShape};
 pub use scheduler::{
     Action, CompletionCommit, DirectPurpose, DirectRequestTarget, Overview, Scheduler, Verdict,
 };
--- a/crates/core/src/machine/mod.rs
+++ b/crates/core/src/machine/mod.rs
@@ -12,6 +12,7 @@
 mod origin;
 mod reachability;
 mod resources;
+mod room;
 mod state;
 mod task_uncertainty;
 mod tasks;
@@ -28,6 +29,7 @@
 pub use message_history::MessageNumber;
 
 pub(crate) use message_ordering::MessageOrdering;
+pub(crate) use room::TaskLimit;
 pub(crate) use task_uncertainty::TaskUncertainty;
 
 use crate::job::Job;
--- a/crates/core/src/machine/resources.rs
+++ b/crates/core/src/machine/resources.rs
@@ -22,7 +22,7 @@
     }
 
     /// Returns the total resources of a machine of the given type.
-    pub(super) fn capacity_of(machine_type: &MachineType) -> Self {
+    pub(crate) fn capacity_of(machine_type: &MachineType) -> Self {
         Self { cpus: machine_type.cpus, gpus: machine_type.gpus, memory_gb: machine_type.memory_gb }
     }
 
@@ -42,11 +42,15 @@
 
     /// Returns this amount multiplied by `count`.
     pub(crate) fn multiplied_by(&self, count: u32) -> Resources {
-        let count = f64::from(count);
+        self.scaled(f64::from(count))
+    }
+
+    /// Returns this amount multiplied by a factor, which must not be negative.
+    pub(crate) fn scaled(&self, factor: f64) -> Resources {
         Resources {
-            cpus: self.cpus * count,
-            gpus: self.gpus * count,
-            memory_gb: self.memory_gb * count,
+            cpus: self.cpus * factor,
+            gpus: self.gpus * factor,
+            memory_gb: self.memory_gb * factor,
         }
     }
 
@@ -65,4 +69,16 @@
             && need.gpus <= self.gpus + AMOUNT_TOLERANCE
             && need.memory_gb <= self.memory_gb + AMOUNT_TOLERANCE
     }
+
+    /// Returns how many tasks with this need fit into this amount together, in every resource.
+    pub(crate) fn fitting_tasks(&self, need: &Resources) -> u32 {
+        if !self.can_fit(need) {
+            return 0;
+        }
+        let amounts =
+            [(self.cpus, need.cpus), (self.gpus, need.gpus), (self.memory_gb, need.memory_gb)];
+        let needed = amounts.into_iter().filter(|(_, need)| *need > 0.0);
+        let counts = needed.map(|(amount, need)| ((amount + AMOUNT_TOLERANCE) / need).floor());
+        counts.fold(f64::from(u32::MAX), f64::min) as u32
+    }
 }
--- a/crates/core/src/placement/capacity.rs
+++ b/crates/core/src/placement/capacity.rs
@@ -4,7 +4,7 @@
 use super::PlacementScope;
 use crate::cluster::Cluster;
 use crate::job::Job;
-use crate::machine::{Machine, Resources};
+use crate::machine::{Machine, Resources, TaskLimit};
 use corkfield_wire::{JobSpec, MachineName, Priority};
 use std::collections::{BTreeMap, HashMap};
 use std::time::Instant;
@@ -32,22 +32,14 @@
     /// Returns the capacity of a machine that accepts starts. Returns `None` if its free resources
     /// are unknown, or if it gets only one task at a time and already has one.
     fn new(machine: &Machine) -> Option<Self> {
-        // If slow machines were excluded entirely, a machine that has recovered or was classified
-        // as slow by mistake could never show that it is fast, and tasks would wait indefinitely
-        // while it stays idle. So long-waiting jobs without a placed task may use slow machines.
-        let is_slow = machine.is_slow();
-        let is_limited_to_one_task = machine.has_failures() || is_slow;
-        let free = machine.free_resources()?;
-        if is_limited_to_one_task && !machine.is_idle() {
-            return None;
-        }
+        let room = machine.task_room()?;
         Some(Self {
             name: machine.name.clone(),
             zone: machine.zone.clone(),
             spot: machine.spot,
-            free,
-            is_limited_to_one_task,
-            is_slow,
+            free: room.free,
+            is_limited_to_one_task: room.limit != TaskLimit::Unlimited,
+            is_slow: room.limit == TaskLimit::OneLongWaitingTask,
             reserved: Resources::default(),
             used_by_priority: machine.tasks.totals().by_priority,
         })
@@ -218,12 +210,11 @@
         let need = Resources::per_task(spec);
         let slots = reservable.iter().filter_map(|&position| {
             let machine = &capacity[position];
-            let count = count_fitting_tasks(&machine.room_for_priority(spec.priority), &need);
-            let is_suitable = count >= 1.0
-                && (spec.spot || !machine.spot)
-                && machines[&machine.name].may_run(spec);
+            let tasks = machine.room_for_priority(spec.priority).fitting_tasks(&need);
+            let is_suitable =
+                tasks >= 1 && (spec.spot || !machine.spot) && machines[&machine.name].may_run(spec);
             let free_cpus = machine.free.cpus;
-            is_suitable.then_some(TaskSlots { position, tasks: count as u32, free_cpus })
+            is_suitable.then_some(TaskSlots { position, tasks, free_cpus })
         });
         slots.collect()
     }
@@ -241,11 +232,3 @@
         && (spec.types.is_none() || machines[&machine.name].may_run(spec))
         && !job.has_failed_on(machine.name.as_str())
 }
-
-/// Returns how many tasks with this need fit into `room`, as a whole number. `need.cpus` must not
-/// be 0.
-fn count_fitting_tasks(room: &Resources, need: &Resources) -> f64 {
-    let by_cpus = room.cpus / need.cpus;
-    let by_memory = if need.memory_gb > 0.0 { room.memory_gb / need.memory_gb } else { by_cpus };
-    by_cpus.min(by_memory).floor()
-}
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -14,6 +14,8 @@
 mod reservation;
 mod zones;
 
+pub(crate) use zones::placed_tasks_by_zone;
+
 use crate::scheduler::Scheduler;
 use crate::team::Usage;
 use corkfield_wire::JobSpec;
--- a/crates/core/src/placement/zones.rs
+++ b/crates/core/src/placement/zones.rs
@@ -66,7 +66,7 @@
 }
 
 /// Returns the number of the job's placed tasks in each zone.
-fn placed_tasks_by_zone(
+pub(crate) fn placed_tasks_by_zone(
     machines: &BTreeMap<MachineName, Machine>,
     job: &Job,
 ) -> BTreeMap<String, u32> {
--- a/crates/core/src/scaling/demand.rs
+++ b/crates/core/src/scaling/demand.rs
@@ -11,7 +11,7 @@
 /// Tasks with a shorter expected run time than this can run one after another on the same CPUs. The
 /// demand of a job with such tasks is the number of CPUs with which all of them complete in about
 /// this time, not counting the boot time of machines.
-const TARGET_COMPLETION_S: f64 = 20.0;
+pub(super) const TARGET_COMPLETION_S: f64 = 20.0;
 
 /// How long the highest demand of a job with a start objective is remembered.
 const RECENT_DEMAND_RETENTION: Duration = Duration::from_secs(180);
--- a/crates/core/src/scaling/mod.rs
+++ b/crates/core/src/scaling/mod.rs
@@ -6,10 +6,17 @@
 
 mod demand;
 mod offers;
+mod pools;
+mod room;
 mod scale_in;
 mod scale_out;
+mod shape;
+mod shape_demand;
 mod spot_balance;
 mod supply;
+mod supply_watch;
+
+pub use supply_watch::{SupplyGap, UnsuppliedShape};
 
 use crate::cluster::Cluster;
 use crate::machine::Machine;
@@ -18,9 +25,13 @@
 use corkfield_wire::{MachineName, Term};
 use demand::RecentDemand;
 use offers::{Offer, OfferBackoff};
+use pools::Pools;
+use room::Room;
 use scale_in::DrainReason;
+use shape_demand::{demand_by_shape, ShapeDemand, ShortJobs};
 use std::collections::BTreeMap;
 use std::time::Instant;
+use supply_watch::{SupplyState, SupplyWatch};
 
 /// Rental requests that have not been answered yet, by request name.
 type RentalsInFlight = BTreeMap<String, RentRequest>;
@@ -59,6 +70,7 @@
     backoff: OfferBackoff,
     rentals_in_flight: RentalsInFlight,
     recent_demand: RecentDemand,
+    supply_watch: SupplyWatch,
 }
 
 impl Autoscaler {
@@ -70,6 +82,7 @@
             backoff: OfferBackoff::default(),
             rentals_in_flight: RentalsInFlight::new(),
             recent_demand: RecentDemand::default(),
+            supply_watch: SupplyWatch::default(),
         }
     }
 
@@ -111,6 +124,7 @@
         let supply_cpus = supply::supply_cpus(cluster, &self.rentals_in_flight, now);
         self.scale_out(cluster, demand, supply_cpus, &mut decisions, now);
         self.scale_out_for_constrained_jobs(cluster, &mut decisions, now);
+        self.check_supply(cluster, now);
         if is_reconciled {
             scale_in::drain_expensive_machines(cluster, demand.cpus, &mut decisions);
         }
@@ -119,6 +133,33 @@
         scale_in::drain_idle_machines(cluster, spare, &mut decisions, now);
         decisions
     }
+
+    /// Returns the shapes of waiting tasks for which nothing was on its way at the last check.
+    pub(crate) fn unsupplied(&self) -> &[UnsuppliedShape] {
+        self.supply_watch.unsupplied()
+    }
+
+    /// Checks whether something is on its way for each waiting job.
+    fn check_supply(&mut self, cluster: &Cluster, now: Instant) {
+        let pools = Pools::new(cluster);
+        let demand = demand_by_shape(cluster, &pools, now);
+        let failed_on = demand.iter().flat_map(|demand| &demand.shape.failed_on).collect();
+        let short_jobs = ShortJobs::new(cluster);
+        let rentals_in_flight = &self.rentals_in_flight;
+        let mut room = Room::new(cluster, &pools, rentals_in_flight, &short_jobs, &failed_on, now);
+        let missing = room.place_all(&demand);
+        for ShapeDemand { shape, tasks, .. } in &missing {
+            tracing::debug!(tasks, need = ?shape.need, zones = ?shape.zones, "tasks have no room");
+        }
+        let state = SupplyState {
+            cluster,
+            pools: &pools,
+            backoff: &self.backoff,
+            rentals_in_flight,
+            missing: &missing,
+        };
+        self.supply_watch.check(&state, now);
+    }
 }
 
 /// Adds rented machines as booting, unless their workers' heartbeats have already added them.
--- a/crates/core/src/scaling/spot_balance.rs
+++ b/crates/core/src/scaling/spot_balance.rs
@@ -1,6 +1,6 @@
 //! Decides whether expensive on-demand machines are needed in addition to the spot machines.
 
-use super::supply::is_up_or_booting;
+use super::room::is_up_or_booting;
 use crate::cluster::Cluster;
 
 /// Expensive on-demand machines are not needed if spot machines have at least this many times the
--- a/crates/core/src/scaling/supply.rs
+++ b/crates/core/src/scaling/supply.rs
@@ -1,11 +1,12 @@
 //! Supply: the capacity of the machines that are up, booting or requested.
 
+use super::room::provides_supply;
 use super::RentalsInFlight;
 use crate::cluster::Cluster;
-use crate::machine::{may_run_on, Machine, MachineState, Reachability};
+use crate::machine::{may_run_on, Machine};
 use corkfield_wire::cloud::RentRequest;
 use corkfield_wire::JobSpec;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Returns the CPUs of all machines that accept tasks, are booting or are requested.
 pub(super) fn supply_cpus(
@@ -60,27 +61,6 @@
     machine_cpus + rental_cpus
 }
 
-/// Returns whether the machine accepts tasks, or is expected to once it is up.
-fn provides_supply(machine: &Machine, heartbeat_timeout: Duration, now: Instant) -> bool {
-    is_up_or_booting(machine)
-        && !machine.has_interruption_notice
-        && machine.reachability() != Reachability::Unreachable
-        && !is_heartbeat_overdue(machine, heartbeat_timeout, now)
-}
-
-/// Returns whether the machine is up or booting and its worker's lease has not expired.
-pub(super) fn is_up_or_booting(machine: &Machine) -> bool {
-    matches!(machine.state(), MachineState::Up | MachineState::Booting)
-        && !machine.is_lease_expired()
-}
-
-/// Returns whether the machine's heartbeat is overdue, so that the machine has probably failed. A
-/// replacement may be rented at once. The machine's tasks stay placed until it provably holds none
-/// of them (S5).
-fn is_heartbeat_overdue(machine: &Machine, heartbeat_timeout: Duration, now: Instant) -> bool {
-    machine.last_message_at.is_some_and(|at| now.saturating_duration_since(at) > heartbeat_timeout)
-}
-
 /// Returns the CPUs of the machines that a rental requests, or `None` if their type is unknown.
 fn requested_cpus(cluster: &Cluster, request: &RentRequest) -> Option<f64> {
     let machine_type =
--- a/crates/core/src/scheduler/overview.rs
+++ b/crates/core/src/scheduler/overview.rs
@@ -3,6 +3,7 @@
 use super::Scheduler;
 use crate::job::JobState;
 use crate::machine::MachineState;
+use crate::scaling::UnsuppliedShape;
 use corkfield_wire::JobId;
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,9 @@
     pub dead_lettered: Vec<JobId>,
     /// The highest claim count of any claimed job.
     pub most_claims: u32,
+    /// Waiting tasks, by shape, for which no machine has room, boots or is requested although their
+    /// team is under its limit.
+    pub unsupplied: Vec<UnsuppliedShape>,
     /// Number of machines that accept tasks.
     pub machines_up: usize,
     /// Number of machines whose workers have not sent a heartbeat yet.
@@ -41,6 +45,7 @@
             machines_unreconciled: self.reconciliation.len(),
             passes: self.passes,
             steps: self.steps,
+            unsupplied: self.scaling.unsupplied().to_vec(),
             ..Overview::default()
         };
         self.add_job_statistics(&mut overview, now);
--- a/crates/core/tests/scheduler/main.rs
+++ b/crates/core/tests/scheduler/main.rs
@@ -10,4 +10,5 @@
 mod random_faults;
 mod restarts;
 mod starts;
+mod supply;
 mod support;
--- a/crates/corkfield/src/leadership/overview.rs
+++ b/crates/corkfield/src/leadership/overview.rs
@@ -5,7 +5,7 @@
 use crate::environment::Environment;
 use crate::replica::StoreReplica;
 use crate::responses::json;
-use corkfield_core::Scheduler;
+use corkfield_core::{Scheduler, UnsuppliedShape};
 use corkfield_http::Response;
 use corkfield_wire::{ControllerName, Term};
 use serde::Serialize;
@@ -43,6 +43,10 @@
     oldest_waiting: Option<String>,
     oldest_waiting_s: Option<f64>,
     most_claims: u32,
+    /// Number of waiting jobs for which nothing is on its way.
+    jobs_without_supply: u32,
+    /// The shapes of their tasks, the longest-waiting first.
+    without_supply: Vec<UnsuppliedView>,
     machines_up: usize,
     machines_booting: usize,
     machines_unreconciled: usize,
@@ -50,6 +54,32 @@
     machines_unfenced: usize,
 }
 
+/// Waiting jobs with tasks of the same shape for which nothing is on its way.
+#[derive(Serialize)]
+struct UnsuppliedView {
+    cpus: f64,
+    gpus: f64,
+    memory_gb: f64,
+    jobs: u32,
+    reason: &'static str,
+    longest_waiting: String,
+    waited_s: f64,
+}
+
+impl From<&UnsuppliedShape> for UnsuppliedView {
+    fn from(shape: &UnsuppliedShape) -> Self {
+        Self {
+            cpus: shape.cpus,
+            gpus: shape.gpus,
+            memory_gb: shape.memory_gb,
+            jobs: shape.jobs,
+            reason: shape.gap.name(),
+            longest_waiting: shape.longest_waiting.to_string(),
+            waited_s: shape.waited.as_secs_f64(),
+        }
+    }
+}
+
 impl LeaderOverview {
     fn new(scheduler: &Scheduler) -> Self {
         let overview = scheduler.overview(now());
@@ -64,6 +94,8 @@
             oldest_waiting: oldest.map(|(id, _)| id.to_string()),
             oldest_waiting_s: oldest.map(|(_, age)| age.as_secs_f64()),
             most_claims: overview.most_claims,
+            jobs_without_supply: overview.unsupplied.iter().map(|shape| shape.jobs).sum(),
+            without_supply: overview.unsupplied.iter().map(UnsuppliedView::from).collect(),
             machines_up: overview.machines_up,
             machines_booting: overview.machines_booting,
             machines_unreconciled: overview.machines_unreconciled,
--- a/crates/corkfield/src/leadership/overview/tests.rs
+++ b/crates/corkfield/src/leadership/overview/tests.rs
@@ -12,6 +12,16 @@
         oldest_waiting: None,
         oldest_waiting_s: None,
         most_claims: 6,
+        jobs_without_supply: 2,
+        without_supply: vec![UnsuppliedView {
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 16.0,
+            jobs: 2,
+            reason: "not requested",
+            longest_waiting: "j-000002".to_owned(),
+            waited_s: 31.0,
+        }],
         machines_up: 7,
         machines_booting: 8,
         machines_unreconciled: 9,
@@ -31,7 +41,13 @@
     };
     let leading = serde_json::json!({
         "term": 4, "jobs": 1, "passes": 2, "steps": 3, "waiting_tasks": 0, "running_tasks": 5,
-        "oldest_waiting": null, "oldest_waiting_s": null, "most_claims": 6, "machines_up": 7,
+        "oldest_waiting": null, "oldest_waiting_s": null, "most_claims": 6,
+        "jobs_without_supply": 2,
+        "without_supply": [{
+            "cpus": 8.0, "gpus": 0.0, "memory_gb": 16.0, "jobs": 2, "reason": "not requested",
+            "longest_waiting": "j-000002", "waited_s": 31.0,
+        }],
+        "machines_up": 7,
         "machines_booting": 8, "machines_unreconciled": 9, "machines_unfenced": 9,
     });
     let expected = serde_json::json!({
