--- a/crates/core/src/scaling/mod.rs
+++ b/crates/core/src/scaling/mod.rs
@@ -1,19 +1,21 @@
-//! Scaling: rents machines for the unfinished tasks and drains machines that are not needed.
+//! Scaling: rents machines for tasks that have no room and drains machines that are not needed.
 //!
-//! The [`Autoscaler`] keeps the state between two rounds. Each round compares the [`demand`] with
-//! the [`supply`], rents missing capacity from the cheapest [`offers`] ([`scale_out`]) and drains
-//! excess machines ([`scale_in`]).
+//! The [`Autoscaler`] keeps the state between two rounds. Each round chooses, from the [`room`] on
+//! the machines that are up, on their way or requested, machines for the [`demand`], which is counted
+//! in tasks by [`shape`]. For the tasks that fit nowhere it plans rentals ([`rental_plan`]) and
+//! requests them ([`scale_out`]); it drains machines that nothing needs ([`scale_in`]). A
+//! [`supply_watch`] reports jobs for which nothing is on its way.
 
 mod demand;
 mod offers;
 mod pools;
+mod recent_demand;
+mod rental_plan;
 mod room;
 mod scale_in;
 mod scale_out;
 mod shape;
-mod shape_demand;
 mod spot_balance;
-mod supply;
 mod supply_watch;
 
 pub use supply_watch::{SupplyGap, UnsuppliedShape};
@@ -23,12 +25,12 @@
 use crate::scheduler::{Action, Scheduler};
 use corkfield_wire::cloud::RentRequest;
 use corkfield_wire::{MachineName, Term};
-use demand::RecentDemand;
+use demand::{demand_by_shape, ShapeDemand, ShortJobs};
 use offers::{Offer, OfferBackoff};
 use pools::Pools;
+use recent_demand::RecentDemand;
 use room::Room;
-use scale_in::DrainReason;
-use shape_demand::{demand_by_shape, ShapeDemand, ShortJobs};
+use scale_in::{DrainReason, IdleUse};
 use std::collections::BTreeMap;
 use std::time::Instant;
 use supply_watch::{SupplyState, SupplyWatch};
@@ -120,48 +122,81 @@
     ) -> ScalingDecisions {
         let mut decisions = ScalingDecisions::default();
         scale_in::drain_unbooted_machines(cluster, &mut decisions, now);
-        let demand = demand::total_demand(cluster);
-        let supply_cpus = supply::supply_cpus(cluster, &self.rentals_in_flight, now);
-        self.scale_out(cluster, demand, supply_cpus, &mut decisions, now);
-        self.scale_out_for_constrained_jobs(cluster, &mut decisions, now);
-        self.check_supply(cluster, now);
-        if is_reconciled {
-            scale_in::drain_expensive_machines(cluster, demand.cpus, &mut decisions);
-        }
-        let headroom_cpus = self.recent_demand.update(cluster, now);
-        let spare = scale_in::SpareCapacity { cpus: supply_cpus - demand.cpus, headroom_cpus };
-        scale_in::drain_idle_machines(cluster, spare, &mut decisions, now);
+        scale_in::update_idle_times(cluster, now);
+        let pools = Pools::new(cluster);
+        let demand = demand_by_shape(cluster, &pools, now);
+        let mut room = self.room(cluster, &pools, &demand, now);
+        let missing = room.place_all(&demand);
+        log_missing(&missing);
+        let unserved = self.scale_out(cluster, &pools, &missing, &mut decisions, now);
+        self.check_supply(cluster, &pools, &unserved, now);
+        let expensive =
+            if is_reconciled { scale_in::expensive_machines(cluster, &pools) } else { Vec::new() };
+        let headroom = self.recent_demand.update(cluster, &pools, now);
+        let idle_use = IdleUse { room, unserved: &unserved, headroom };
+        let idle = scale_in::dispensable_idle_machines(cluster, &pools, idle_use, now);
+        decisions.drain(cluster, expensive, DrainReason::Expensive);
+        decisions.drain(cluster, idle, DrainReason::Idle);
         decisions
     }
 
+    /// Returns the room on all machines that are up, on their way or requested.
+    fn room(
+        &self,
+        cluster: &Cluster,
+        pools: &Pools<'_>,
+        demand: &[ShapeDemand],
+        now: Instant,
+    ) -> Room {
+        let short_jobs = ShortJobs::new(cluster);
+        let failed_on = demand.iter().flat_map(|demand| &demand.shape.failed_on).collect();
+        Room::new(cluster, pools, &self.rentals_in_flight, &short_jobs, &failed_on, now)
+    }
+
     /// Returns the shapes of waiting tasks for which nothing was on its way at the last check.
     pub(crate) fn unsupplied(&self) -> &[UnsuppliedShape] {
         self.supply_watch.unsupplied()
     }
 
-    /// Checks whether something is on its way for each waiting job.
-    fn check_supply(&mut self, cluster: &Cluster, now: Instant) {
-        let pools = Pools::new(cluster);
-        let demand = demand_by_shape(cluster, &pools, now);
-        let failed_on = demand.iter().flat_map(|demand| &demand.shape.failed_on).collect();
-        let short_jobs = ShortJobs::new(cluster);
-        let rentals_in_flight = &self.rentals_in_flight;
-        let mut room = Room::new(cluster, &pools, rentals_in_flight, &short_jobs, &failed_on, now);
-        let missing = room.place_all(&demand);
-        for ShapeDemand { shape, tasks, .. } in &missing {
-            tracing::debug!(tasks, need = ?shape.need, zones = ?shape.zones, "tasks have no room");
-        }
+    /// Checks whether something is on its way for each waiting job. `unserved` are the tasks that
+    /// have no room and for which no machine was requested.
+    fn check_supply(
+        &mut self,
+        cluster: &Cluster,
+        pools: &Pools<'_>,
+        unserved: &[ShapeDemand],
+        now: Instant,
+    ) {
         let state = SupplyState {
             cluster,
-            pools: &pools,
+            pools,
             backoff: &self.backoff,
-            rentals_in_flight,
-            missing: &missing,
+            rentals_in_flight: &self.rentals_in_flight,
+            unserved,
         };
         self.supply_watch.check(&state, now);
     }
 }
 
+impl ScalingDecisions {
+    /// Drains machines for a reason, unless they drain already.
+    fn drain(&mut self, cluster: &mut Cluster, names: Vec<MachineName>, reason: DrainReason) {
+        for name in names {
+            cluster.drain_machine(name.as_str());
+            if !self.drained.iter().any(|drained| drained.name == name) {
+                self.drained.push(DrainedMachine { name, reason });
+            }
+        }
+    }
+}
+
+/// Logs the tasks that have no room.
+fn log_missing(missing: &[ShapeDemand]) {
+    for ShapeDemand { shape, tasks, .. } in missing {
+        tracing::debug!(tasks, need = ?shape.need, zones = ?shape.zones, "tasks have no room");
+    }
+}
+
 /// Adds rented machines as booting, unless their workers' heartbeats have already added them.
 fn add_rented_machines(
     cluster: &mut Cluster,
--- a/crates/core/src/scaling/offers.rs
+++ b/crates/core/src/scaling/offers.rs
@@ -1,10 +1,8 @@
 //! The cloud's offers: their prices, and which of them may be requested now.
 
+use super::pools::{Pool, Pools};
 use super::{RentalFailure, RentalsInFlight};
-use crate::cluster::Cluster;
-use crate::machine::may_run_on;
 use corkfield_wire::cloud::{MachineType, RentRequest};
-use corkfield_wire::JobSpec;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -14,9 +12,6 @@
 /// Minimum number of CPUs that a machine counts as in price comparisons, to avoid division by 0.
 const MIN_MACHINE_CPUS: f64 = 0.1;
 
-/// Prices per CPU that differ by less than this are equal.
-const PRICE_TOLERANCE: f64 = 1e-9;
-
 /// Initial backoff in seconds of an offer without capacity; it doubles with each consecutive
 /// failure.
 const NO_CAPACITY_BACKOFF_S: f64 = 5.0;
@@ -47,6 +42,15 @@
 }
 
 impl Offer {
+    /// Returns the offer of a pool.
+    fn of_pool(pool: &Pool<'_>) -> Self {
+        Self {
+            machine_type: pool.machine_type.name.clone(),
+            zone: pool.zone.to_owned(),
+            spot: pool.spot,
+        }
+    }
+
     fn is_requested_by(&self, request: &RentRequest) -> bool {
         self.machine_type == request.machine_type
             && self.zone == request.zone
@@ -54,45 +58,10 @@
     }
 }
 
-/// An offer and its price per CPU.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct PricedOffer<'a> {
-    pub(super) machine_type: &'a MachineType,
-    pub(super) zone: &'a str,
-    pub(super) spot: bool,
-    pub(super) price_per_cpu: f64,
-}
-
-impl PricedOffer<'_> {
-    /// Returns whether a task of the job may run on a machine of this offer and fits into an empty
-    /// one.
-    pub(super) fn can_run(&self, spec: &JobSpec) -> bool {
-        let machine_type = self.machine_type;
-        may_run_on(spec, &machine_type.name, self.zone, self.spot)
-            && spec.cpus <= machine_type.cpus
-            && spec.gpus <= machine_type.gpus
-            && spec.memory_gb <= machine_type.memory_gb
-    }
-
-    /// Returns whether both offers have the same price per CPU.
-    pub(super) fn has_same_price_as(&self, other: &Self) -> bool {
-        (self.price_per_cpu - other.price_per_cpu).abs() < PRICE_TOLERANCE
-    }
-
-    /// Returns the CPUs of one machine, at least [`MIN_MACHINE_CPUS`], for use as a divisor.
-    pub(super) fn nonzero_cpus(&self) -> f64 {
-        nonzero_cpus(self.machine_type)
-    }
-}
-
 /// Returns the price per CPU of a spot or on-demand machine of this type.
 pub(super) fn price_per_cpu(machine_type: &MachineType, spot: bool) -> f64 {
     let price = if spot { machine_type.spot_price } else { machine_type.price };
-    price / nonzero_cpus(machine_type)
-}
-
-fn nonzero_cpus(machine_type: &MachineType) -> f64 {
-    machine_type.cpus.max(MIN_MACHINE_CPUS)
+    price / machine_type.cpus.max(MIN_MACHINE_CPUS)
 }
 
 /// Returns whether on-demand machines of this type are expensive compared to its spot machines.
@@ -100,29 +69,20 @@
     machine_type.spot_price > 0.0 && machine_type.price > EXPENSIVE_RATIO * machine_type.spot_price
 }
 
-/// Returns the offers that are neither in backoff nor requested by a rental in flight.
+/// Returns the pools that the cloud offers and that are neither in backoff nor requested by a rental
+/// in flight.
 pub(super) fn available_offers<'a>(
-    cluster: &'a Cluster,
+    pools: &Pools<'a>,
     backoff: &OfferBackoff,
     rentals_in_flight: &RentalsInFlight,
     now: Instant,
-) -> Vec<PricedOffer<'a>> {
-    let mut offers = Vec::new();
-    for machine_type in &cluster.machine_types {
-        for zone in &machine_type.zones {
-            for spot in [true, false] {
-                let offer =
-                    Offer { machine_type: machine_type.name.clone(), zone: zone.clone(), spot };
-                let is_requested =
-                    rentals_in_flight.values().any(|request| offer.is_requested_by(request));
-                if !is_requested && !backoff.is_backing_off(&offer, now) {
-                    let price_per_cpu = price_per_cpu(machine_type, spot);
-                    offers.push(PricedOffer { machine_type, zone, spot, price_per_cpu });
-                }
-            }
-        }
-    }
-    offers
+) -> Vec<Pool<'a>> {
+    let is_available = |pool: &Pool<'_>| {
+        let offer = Offer::of_pool(pool);
+        let is_requested = rentals_in_flight.values().any(|request| offer.is_requested_by(request));
+        pool.is_offered() && !is_requested && !backoff.is_backing_off(&offer, now)
+    };
+    pools.iter().filter(is_available).collect()
 }
 
 /// Offers that are not requested again before a certain time.
--- a/crates/core/src/scaling/room.rs
+++ b/crates/core/src/scaling/room.rs
@@ -3,9 +3,9 @@
 //! Room is counted in whole tasks that fit on one machine in every resource. Machines with the same
 //! room in the same pool form one group, so that the cost depends on the number of groups.
 
+use super::demand::{ShapeDemand, ShortJobs};
 use super::pools::{PoolIndex, Pools};
 use super::shape::TaskShape;
-use super::shape_demand::{ShapeDemand, ShortJobs};
 use super::RentalsInFlight;
 use crate::cluster::Cluster;
 use crate::float_order::compare_f64;
@@ -136,6 +136,28 @@
         }
         full_machines * per_machine + rest
     }
+
+    /// Returns how many tasks of this shape fit into the room that is left.
+    pub(super) fn fitting_tasks(&self, shape: &TaskShape, pools: &[bool]) -> u64 {
+        let count = |group: &RoomGroup| {
+            u64::from(group.fitting_tasks(shape, pools)) * u64::from(group.machines)
+        };
+        self.groups.iter().map(count).sum()
+    }
+
+    /// Removes an idle machine of the pool from the room, if one is left that was not chosen for
+    /// any task.
+    pub(super) fn remove_idle_machine(&mut self, pool: PoolIndex, name: &MachineName) -> bool {
+        let is_suitable = |group: &&mut RoomGroup| {
+            group.is_idle
+                && group.machines > 0
+                && group.pool == pool
+                && group.name.as_ref().is_none_or(|only| only == name)
+        };
+        let Some(group) = self.groups.iter_mut().find(is_suitable) else { return false };
+        group.machines -= 1;
+        true
+    }
 }
 
 impl RoomGroup {
--- a/crates/core/src/scaling/scale_in.rs
+++ b/crates/core/src/scaling/scale_in.rs
@@ -1,12 +1,19 @@
 //! Scale-in: drains machines, which are deleted once they are empty.
 
+use super::demand::{CpuDemand, ShapeDemand};
 use super::offers::{is_expensive, price_per_cpu};
-use super::spot_balance::SpotBalance;
+use super::pools::{Pool, PoolIndex, Pools};
+use super::recent_demand::Headroom;
+use super::room::{is_up_or_booting, Room};
+use super::shape::TaskShape;
+use super::spot_balance::PoolCapacity;
 use super::{DrainedMachine, ScalingDecisions};
 use crate::cluster::Cluster;
 use crate::float_order::compare_f64;
-use crate::machine::{Machine, MachineState};
+use crate::job::Job;
+use crate::machine::{Machine, MachineState, Resources};
 use corkfield_wire::MachineName;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 /// Idle machines beyond the capacity that future jobs are likely to need may be drained after this
@@ -42,25 +49,26 @@
     }
 }
 
-/// Capacity beyond the demand.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct SpareCapacity {
-    /// Supply minus demand, in CPUs; negative if capacity is missing.
-    pub(super) cpus: f64,
-    /// CPUs that future jobs with a start objective are likely to need.
-    pub(super) headroom_cpus: f64,
-}
-
 /// A machine without tasks.
-struct IdleMachine {
-    name: MachineName,
-    cpus: f64,
+struct IdleMachine<'a> {
+    machine: &'a Machine,
+    pool: Pool<'a>,
     price_per_cpu: f64,
     /// Whether the machine has been idle for the full time for which the settings keep an idle
     /// machine, or is slow.
     is_past_idle_keep: bool,
 }
 
+/// What idle machines are kept for.
+pub(super) struct IdleUse<'a> {
+    /// Room that is left once machines are chosen for all waiting tasks.
+    pub(super) room: Room,
+    /// Tasks for which no machine has room and none was requested.
+    pub(super) unserved: &'a [ShapeDemand],
+    /// Room to keep for future jobs.
+    pub(super) headroom: Option<Headroom>,
+}
+
 /// Drains machines that have exceeded their boot timeout and may never come up.
 pub(super) fn drain_unbooted_machines(
     cluster: &mut Cluster,
@@ -70,7 +78,8 @@
     for machine in cluster.machines.values_mut() {
         if has_boot_timed_out(machine, now) {
             machine.transition_to(MachineState::Draining);
-            decisions.add_drained(machine.name.as_str(), DrainReason::BootTimeout);
+            let name = machine.name.clone();
+            decisions.drained.push(DrainedMachine { name, reason: DrainReason::BootTimeout });
         }
     }
 }
@@ -83,35 +92,35 @@
         && now.saturating_duration_since(machine.rented_at) > limit
 }
 
-/// Drains the expensive machines once spot machines provide most of the capacity at a far lower
-/// price. Tasks that run on the drained machines may finish, but no new tasks start there.
-pub(super) fn drain_expensive_machines(
-    cluster: &mut Cluster,
-    demand_cpus: f64,
-    decisions: &mut ScalingDecisions,
-) {
+/// Returns the expensive on-demand machines to drain, once spot machines provide most of the capacity
+/// at a far lower price wherever the unfinished tasks can run. Tasks that run on the drained machines
+/// may finish, but no new tasks start there.
+pub(super) fn expensive_machines(cluster: &Cluster, pools: &Pools<'_>) -> Vec<MachineName> {
     // Jobs that must not run on spot machines need the on-demand machines.
     if !cluster.jobs.values().all(|job| job.spec().spot) {
-        return;
-    }
-    let mut balance = SpotBalance::default();
-    let mut expensive = Vec::new();
-    for machine in cluster.machines.values().filter(|machine| is_usable(machine)) {
-        let Some(machine_type) = &machine.machine_type else { continue };
-        if machine.spot {
-            balance.spot_cpus += machine_type.cpus;
-        } else if is_expensive(machine_type) {
-            balance.on_demand_cpus += machine_type.cpus;
-            expensive.push(machine.name.clone());
-        }
+        return Vec::new();
     }
-    if !balance.is_spot_sufficient(demand_cpus) {
-        return;
-    }
-    for name in expensive {
-        cluster.drain_machine(name.as_str());
-        decisions.add_drained(name.as_str(), DrainReason::Expensive);
+    let usable = || cluster.machines.values().filter(|machine| is_usable(machine));
+    let is_candidate = |pool: &Pool<'_>| !pool.spot && is_expensive(pool.machine_type);
+    let candidates: Vec<(&Machine, Pool<'_>)> = usable()
+        .filter_map(|machine| Some((machine, pools.of_machine(machine)?)))
+        .filter(|(_, pool)| is_candidate(pool))
+        .collect();
+    if candidates.is_empty() {
+        return Vec::new();
     }
+    let demand = CpuDemand::new(cluster, pools);
+    let capacity = PoolCapacity::new(cluster, pools, is_usable);
+    let candidate_pools: BTreeSet<PoolIndex> =
+        candidates.iter().map(|(_, pool)| pool.index).collect();
+    let dispensable: BTreeSet<PoolIndex> = pools
+        .iter()
+        .filter(|pool| candidate_pools.contains(&pool.index))
+        .filter(|pool| capacity.is_pool_dispensable(pool, &demand))
+        .map(|pool| pool.index)
+        .collect();
+    let expensive = candidates.into_iter().filter(|(_, pool)| dispensable.contains(&pool.index));
+    expensive.map(|(machine, _)| machine.name.clone()).collect()
 }
 
 /// Returns whether the machine is up, with neither an interruption notice nor an expired worker
@@ -122,58 +131,127 @@
         && !machine.is_lease_expired()
 }
 
-/// Drains idle machines that are not needed, the most expensive ones first.
-pub(super) fn drain_idle_machines(
-    cluster: &mut Cluster,
-    mut spare: SpareCapacity,
-    decisions: &mut ScalingDecisions,
+/// Updates since when each machine is idle.
+pub(super) fn update_idle_times(cluster: &mut Cluster, now: Instant) {
+    for machine in cluster.machines.values_mut() {
+        if machine.state() == MachineState::Up && machine.tasks.is_empty() {
+            machine.idle_since.get_or_insert(now);
+        } else {
+            machine.idle_since = None;
+        }
+    }
+}
+
+/// Returns the idle machines to drain, the most expensive ones first: those that no waiting task
+/// needs and that are not kept for future jobs.
+pub(super) fn dispensable_idle_machines(
+    cluster: &Cluster,
+    pools: &Pools<'_>,
+    mut idle_use: IdleUse<'_>,
     now: Instant,
-) {
-    let mut idle = idle_machines(cluster, now);
+) -> Vec<MachineName> {
+    let mut idle = idle_machines(cluster, pools, now);
+    if idle.is_empty() {
+        return Vec::new();
+    }
     idle.sort_by(|left, right| compare_f64(right.price_per_cpu, left.price_per_cpu));
+    let mut last_machines = LastMachines::new(cluster, pools);
+    let mut dispensable = Vec::new();
     for machine in idle {
-        // Idle machines that future jobs with a start objective are likely to need are kept for the
-        // full time, the others only for the short time.
-        let headroom_cpus = if machine.is_past_idle_keep { 0.0 } else { spare.headroom_cpus };
-        if spare.cpus < machine.cpus + headroom_cpus {
+        let name = &machine.machine.name;
+        if last_machines.include(&machine.pool) || !idle_use.release(&machine) {
             continue;
         }
-        spare.cpus -= machine.cpus;
-        tracing::debug!(machine = %machine.name, "returning an idle machine");
-        cluster.drain_machine(machine.name.as_str());
-        decisions.add_drained(machine.name.as_str(), DrainReason::Idle);
+        tracing::debug!(machine = %name, "returning an idle machine");
+        last_machines.remove(&machine.pool);
+        dispensable.push(name.clone());
     }
+    dispensable
 }
 
-/// Returns the machines that have been idle for the short keep time or are slow. Also updates
-/// `idle_since` of every machine.
-fn idle_machines(cluster: &mut Cluster, now: Instant) -> Vec<IdleMachine> {
-    let long_keep = cluster.config.idle_keep;
-    let short_keep = long_keep.mul_f64(SHORT_IDLE_KEEP_FRACTION);
-    let mut idle = Vec::new();
-    for machine in cluster.machines.values_mut() {
-        let Some(machine_type) = &machine.machine_type else { continue };
-        if machine.state() != MachineState::Up || !machine.tasks.is_empty() {
-            machine.idle_since = None;
-            continue;
+impl IdleUse<'_> {
+    /// Removes an idle machine from the room that is left, if nothing needs it. Returns whether the
+    /// machine may be drained.
+    fn release(&mut self, idle: &IdleMachine<'_>) -> bool {
+        let pool = idle.pool.index;
+        // While tasks wait that nothing else serves, a machine that gets few tasks is better than
+        // none.
+        if self.unserved.iter().any(|demand| demand.pools[pool]) {
+            return false;
         }
-        let since = *machine.idle_since.get_or_insert(now);
-        let idle_for = now.saturating_duration_since(since);
-        let is_slow = machine.is_slow();
-        if is_slow || idle_for >= short_keep {
-            idle.push(IdleMachine {
-                name: machine.name.clone(),
-                cpus: machine_type.cpus,
-                price_per_cpu: price_per_cpu(machine_type, machine.spot),
-                is_past_idle_keep: is_slow || idle_for >= long_keep,
-            });
+        if idle.machine.is_slow() {
+            return true;
         }
+        let is_headroom = |headroom: &&Headroom| !idle.is_past_idle_keep && headroom.pools[pool];
+        if let Some(headroom) = self.headroom.as_ref().filter(is_headroom) {
+            let capacity = Resources::capacity_of(idle.pool.machine_type);
+            let own = u64::from(capacity.fitting_tasks(&headroom.shape.need));
+            let left = self.room.fitting_tasks(&headroom.shape, &headroom.pools);
+            if left < own + headroom.tasks {
+                return false;
+            }
+        }
+        self.room.remove_idle_machine(pool, &idle.machine.name)
     }
-    idle
 }
 
-impl ScalingDecisions {
-    fn add_drained(&mut self, name: &str, reason: DrainReason) {
-        self.drained.push(DrainedMachine { name: MachineName::from(name), reason });
+/// The sets of pools in which waiting tasks can run, also those of jobs that back off, and the number
+/// of machines in each pool.
+struct LastMachines {
+    pool_sets: BTreeSet<Vec<bool>>,
+    machines: Vec<u32>,
+}
+
+impl LastMachines {
+    fn new(cluster: &Cluster, pools: &Pools<'_>) -> Self {
+        let mut machines = vec![0; pools.iter().count()];
+        for machine in cluster.machines.values().filter(|machine| is_up_or_booting(machine)) {
+            if let Some(pool) = pools.of_machine(machine) {
+                machines[pool.index] += 1;
+            }
+        }
+        let waits = |job: &&Job| job.is_live() && job.waiting_tasks() > 0;
+        let waiting = cluster.jobs.values().filter(waits);
+        let pool_sets =
+            waiting.map(|job| pools.that_can_run(&TaskShape::of_spec(job.spec()))).collect();
+        Self { pool_sets, machines }
     }
+
+    /// Returns whether waiting tasks can run on the machines of this pool and on no other machine
+    /// than one.
+    fn include(&self, pool: &Pool<'_>) -> bool {
+        let machines = |is_in: &Vec<bool>| {
+            let counts = self.machines.iter().zip(is_in).filter(|(_, is_in)| **is_in);
+            counts.map(|(machines, _)| *machines).sum::<u32>()
+        };
+        self.pool_sets.iter().any(|is_in| is_in[pool.index] && machines(is_in) <= 1)
+    }
+
+    /// Counts a machine of the pool as drained.
+    fn remove(&mut self, pool: &Pool<'_>) {
+        self.machines[pool.index] -= 1;
+    }
+}
+
+/// Returns the machines that have been idle for the short keep time or are slow.
+fn idle_machines<'a>(
+    cluster: &'a Cluster,
+    pools: &Pools<'a>,
+    now: Instant,
+) -> Vec<IdleMachine<'a>> {
+    let long_keep = cluster.config.idle_keep;
+    let short_keep = long_keep.mul_f64(SHORT_IDLE_KEEP_FRACTION);
+    let idle = cluster.machines.values().filter_map(|machine| {
+        let since = machine.idle_since?;
+        let idle_for = now.saturating_duration_since(since);
+        let is_slow = machine.is_slow();
+        let pool = pools.of_machine(machine).filter(|_| is_slow || idle_for >= short_keep)?;
+        Some(IdleMachine {
+            machine,
+            pool,
+            price_per_cpu: price_per_cpu(pool.machine_type, pool.spot),
+            is_past_idle_keep: is_slow || idle_for >= long_keep,
+        })
+    });
+    idle.collect()
 }
--- a/crates/core/src/scaling/shape.rs
+++ b/crates/core/src/scaling/shape.rs
@@ -5,7 +5,7 @@
 use crate::job::Job;
 use crate::machine::Resources;
 use crate::placement::placed_tasks_by_zone;
-use corkfield_wire::MachineName;
+use corkfield_wire::{JobSpec, MachineName};
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
 
@@ -26,15 +26,23 @@
 }
 
 impl TaskShape {
-    /// Returns the shape of the job's waiting tasks. `all_zones` are the zones of the deployment.
-    pub(super) fn of_waiting_tasks(job: &Job, cluster: &Cluster, all_zones: &[&str]) -> Self {
-        let spec = job.spec();
+    /// Returns the shape of the tasks of a job of which none is placed and none has failed.
+    pub(super) fn of_spec(spec: &JobSpec) -> Self {
         Self {
             need: Resources::per_task(spec),
             spot: spec.spot,
             types: spec.types.clone(),
+            zones: spec.zone.clone().map(|zone| BTreeSet::from([zone])),
+            failed_on: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the shape of the job's waiting tasks. `all_zones` are the zones of the deployment.
+    pub(super) fn of_waiting_tasks(job: &Job, cluster: &Cluster, all_zones: &[&str]) -> Self {
+        Self {
             zones: allowed_zones(job, cluster, all_zones),
             failed_on: job.failures.machines().iter().cloned().collect(),
+            ..Self::of_spec(job.spec())
         }
     }
 
--- a/crates/core/src/scaling/supply_watch.rs
+++ b/crates/core/src/scaling/supply_watch.rs
@@ -1,12 +1,11 @@
 //! Watches for jobs that wait although their team is under its limit and nothing is on its way for
 //! them: neither a machine with room, nor one that boots, nor a request to the cloud.
 
-use super::demand::has_waiting_tasks;
+use super::demand::{has_waiting_tasks, ShapeDemand};
 use super::offers::{available_offers, OfferBackoff};
 use super::pools::{Pool, Pools};
 use super::room::provides_supply;
 use super::shape::TaskShape;
-use super::shape_demand::ShapeDemand;
 use super::RentalsInFlight;
 use crate::cluster::Cluster;
 use crate::job::Job;
@@ -83,7 +82,7 @@
     pub(super) backoff: &'a OfferBackoff,
     pub(super) rentals_in_flight: &'a RentalsInFlight,
     /// Tasks without room on any machine that is up, on its way or requested.
-    pub(super) missing: &'a [ShapeDemand],
+    pub(super) unserved: &'a [ShapeDemand],
 }
 
 impl SupplyWatch {
@@ -165,7 +164,7 @@
 impl SupplyState<'_> {
     /// Returns why nothing is on its way for tasks of this shape; `None` if something is.
     fn gap(&self, shape: &TaskShape, waited: Duration, now: Instant) -> Option<SupplyGap> {
-        if !self.missing.iter().any(|missing| missing.shape == *shape) {
+        if !self.unserved.iter().any(|unserved| unserved.shape == *shape) {
             let is_unused = waited >= UNUSED_ROOM_WAIT && self.has_room_now(shape, now);
             return is_unused.then_some(SupplyGap::RoomNotUsed);
         }
@@ -173,11 +172,8 @@
         if !self.pools.iter().any(|pool| is_offered(&pool)) {
             return Some(SupplyGap::NotOffered);
         }
-        let available = available_offers(self.cluster, self.backoff, self.rentals_in_flight, now);
-        let is_available = available.iter().any(|offer| {
-            let pool = self.pools.find(&offer.machine_type.name, offer.zone, offer.spot);
-            pool.is_some_and(|pool| shape.can_run_in(&pool))
-        });
+        let available = available_offers(self.pools, self.backoff, self.rentals_in_flight, now);
+        let is_available = available.iter().any(|pool| shape.can_run_in(pool));
         Some(if is_available { SupplyGap::NotRequested } else { SupplyGap::OffersBackOff })
     }
 
--- a/crates/core/src/team.rs
+++ b/crates/core/src/team.rs
@@ -1,5 +1,6 @@
 //! Guarantees and limits of teams, and the check whether a job can ever be scheduled.
 
+use crate::machine::Resources;
 use corkfield_wire::cloud::MachineType;
 use corkfield_wire::settings::Team;
 use corkfield_wire::JobSpec;
@@ -105,7 +106,5 @@
 fn fits_machine_type(spec: &JobSpec, machine_type: &MachineType) -> bool {
     spec.types.as_ref().is_none_or(|names| names.contains(&machine_type.name))
         && spec.zone.as_ref().is_none_or(|zone| machine_type.zones.contains(zone))
-        && spec.cpus <= machine_type.cpus + AMOUNT_TOLERANCE
-        && spec.gpus <= machine_type.gpus + AMOUNT_TOLERANCE
-        && spec.memory_gb <= machine_type.memory_gb + AMOUNT_TOLERANCE
+        && Resources::capacity_of(machine_type).can_fit(&Resources::per_task(spec))
 }
--- a/crates/corkfield/examples/loopback.rs
+++ b/crates/corkfield/examples/loopback.rs
@@ -163,6 +163,7 @@
         zone: String::new(),
         spot: false,
         cpus: 0.0,
+        memory_gb: 0.0,
         heartbeat_interval: HEARTBEAT_INTERVAL,
         lease_duration: WORKER_LEASE,
         heartbeat_after_each_reply: false,
--- a/crates/corkfield/tests/scenarios/cluster/mod.rs
+++ b/crates/corkfield/tests/scenarios/cluster/mod.rs
@@ -4,7 +4,7 @@
 mod store_load;
 mod users;
 
-pub use settings::PlatformLimits;
+pub use settings::{large_machine_type, machine_type, PlatformLimits};
 pub use store_load::{
     is_job_cancellation, is_job_claim, is_transaction, is_transaction_with, StoreLoad,
 };
@@ -16,11 +16,11 @@
     Violation,
 };
 use corkfield_http::Client;
+use corkfield_wire::cloud::MachineType;
 use corkfield_wire::records::{job_key, JobRecord, LeaderRecord, LEADER_KEY};
 use corkfield_wire::{JobId, JobSpec, TaskId, Term};
 use settings::{
-    client_addr, cloud_addr, controller_settings, machine_type, store_addr, worker_template,
-    SMALL_LIMITS,
+    client_addr, cloud_addr, controller_settings, store_addr, worker_template, SMALL_LIMITS,
 };
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -81,7 +81,7 @@
     machines: u32,
     body: impl FnOnce(Rc<Cluster>) -> F,
 ) {
-    run_scenario(limits, Operator::default(), machines, body);
+    run_scenario(limits, Operator::default(), vec![machine_type()], machines, body);
 }
 
 /// Runs a scenario with other operator settings than the defaults.
@@ -90,12 +90,23 @@
     machines: u32,
     body: impl FnOnce(Rc<Cluster>) -> F,
 ) {
-    run_scenario(SMALL_LIMITS, operator, machines, body);
+    run_scenario(SMALL_LIMITS, operator, vec![machine_type()], machines, body);
+}
+
+/// Runs a scenario with other machine types than the default one. The machines that are up at the
+/// start are of the first type.
+pub fn scenario_with_types<F: Future<Output = ()>>(
+    types: Vec<MachineType>,
+    machines: u32,
+    body: impl FnOnce(Rc<Cluster>) -> F,
+) {
+    run_scenario(SMALL_LIMITS, Operator::default(), types, machines, body);
 }
 
 fn run_scenario<F: Future<Output = ()>>(
     limits: PlatformLimits,
     operator: Operator,
+    types: Vec<MachineType>,
     machines: u32,
     body: impl FnOnce(Rc<Cluster>) -> F,
 ) {
@@ -105,7 +116,7 @@
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
-        let cluster = Rc::new(Cluster::new(limits, operator, machines));
+        let cluster = Rc::new(Cluster::new(limits, operator, types, machines));
         for controller in 0..CONTROLLERS.len() {
             cluster.start_controller(controller);
         }
@@ -136,7 +147,12 @@
 }
 
 impl Cluster {
-    fn new(limits: PlatformLimits, operator: Operator, machines: u32) -> Self {
+    fn new(
+        limits: PlatformLimits,
+        operator: Operator,
+        types: Vec<MachineType>,
+        machines: u32,
+    ) -> Self {
         let net = MemoryNet::default();
         let history = Rc::new(ExecutionHistory::default());
         history.cancel_limit.set(Duration::from_secs_f64(CANCEL_S));
@@ -148,7 +164,7 @@
         for (controller, is_refusing) in is_refused_by_store.iter().enumerate() {
             store.start(net.host_network("state"), store_addr(controller), Rc::clone(is_refusing));
         }
-        let cloud = start_cloud(&net, &history, machines);
+        let cloud = start_cloud(&net, &history, types, machines);
         let user = net.host_network("user");
         let clients = (0..CONTROLLERS.len())
             .map(|controller| {
@@ -287,12 +303,17 @@
 }
 
 /// Starts the cloud with `machines` machines that are about to boot, in two zones.
-fn start_cloud(net: &MemoryNet, history: &Rc<ExecutionHistory>, machines: u32) -> Rc<FakeCloud> {
+fn start_cloud(
+    net: &MemoryNet,
+    history: &Rc<ExecutionHistory>,
+    types: Vec<MachineType>,
+    machines: u32,
+) -> Rc<FakeCloud> {
     let cloud = FakeCloud::new(
         Rc::new(net.clone()),
         history.clone(),
         worker_template(),
-        vec![machine_type()],
+        types,
         machines as usize,
     );
     cloud.start(net.host_network("cloud"), cloud_addr());
--- a/crates/corkfield/tests/scenarios/cluster/settings.rs
+++ b/crates/corkfield/tests/scenarios/cluster/settings.rs
@@ -88,7 +88,7 @@
     text
 }
 
-/// Returns the only machine type, which has eight CPUs.
+/// Returns the first machine type, which has eight CPUs. In most scenarios it is the only one.
 pub fn machine_type() -> MachineType {
     MachineType {
         name: "box".to_owned(),
@@ -104,6 +104,18 @@
     }
 }
 
+/// Returns a machine type with 32 CPUs, of which no machine is up at the start.
+pub fn large_machine_type() -> MachineType {
+    MachineType {
+        name: "rack".to_owned(),
+        cpus: 32.0,
+        memory_gb: 128.0,
+        price: 4.5,
+        spot_price: 1.4,
+        ..machine_type()
+    }
+}
+
 /// Returns the settings that all workers share; the cloud sets the others for each machine.
 pub fn worker_template() -> WorkerSettings {
     let controllers = CONTROLLERS.iter().enumerate();
@@ -114,6 +126,7 @@
         zone: String::new(),
         spot: false,
         cpus: 0.0,
+        memory_gb: 0.0,
         heartbeat_interval: Duration::from_secs(2),
         lease_duration: Duration::from_secs_f64(LEASE_S),
         heartbeat_after_each_reply: true,
--- a/crates/corkfield/tests/scenarios/main.rs
+++ b/crates/corkfield/tests/scenarios/main.rs
@@ -11,3 +11,4 @@
 mod machines;
 mod message_faults;
 mod store_faults;
+mod supply;
--- a/crates/fakes/src/cloud.rs
+++ b/crates/fakes/src/cloud.rs
@@ -32,7 +32,8 @@
     worker: Option<Rc<FakeWorker>>,
 }
 
-/// A fake cloud. All its machines are of the first machine type.
+/// A fake cloud. Machines that are not rented by a request are of the first machine type, unless a
+/// type is given.
 pub struct FakeCloud {
     networks: Rc<dyn NetworkProvider>,
     history: Rc<ExecutionHistory>,
@@ -96,39 +97,48 @@
         });
     }
 
-    /// Adds a machine whose worker starts after `boot_s` seconds; returns the machine's name.
+    /// Adds a machine of the first type whose worker starts after `boot_s` seconds; returns the
+    /// machine's name.
     pub fn add_machine(self: &Rc<Self>, zone: &str, spot: bool, boot_s: f64) -> MachineName {
+        self.add_machine_of_type(&self.machine_types[0], zone, spot, boot_s)
+    }
+
+    /// Adds a machine of a type whose worker starts after `boot_s` seconds; returns the machine's
+    /// name.
+    pub fn add_machine_of_type(
+        self: &Rc<Self>,
+        machine_type: &MachineType,
+        zone: &str,
+        spot: bool,
+        boot_s: f64,
+    ) -> MachineName {
         let number = self.next_machine.get();
         self.next_machine.set(number + 1);
         let name = MachineName::from(format!("host-{number:06}"));
         let machine = RentedMachine {
-            machine_type: self.machine_types[0].name.clone(),
+            machine_type: machine_type.name.clone(),
             zone: zone.to_owned(),
             spot,
             rented_at: now(),
             worker: None,
         };
         self.machines.borrow_mut().insert(name.clone(), machine);
-        let settings = self.worker_settings(number, name.as_str(), zone, spot);
-        let cloud = self.clone();
-        self.networks.spawn(Box::pin(async move {
-            sleep(boot_s).await;
-            cloud.start_worker(settings);
-        }));
-        name
-    }
-
-    fn worker_settings(&self, number: u32, name: &str, zone: &str, spot: bool) -> WorkerSettings {
-        let machine_type = &self.machine_types[0];
-        WorkerSettings {
-            name: MachineName::from(name),
+        let settings = WorkerSettings {
+            name: name.clone(),
             addr: self.machine_addr(number),
             machine_type: machine_type.name.clone(),
             zone: zone.to_owned(),
             spot,
             cpus: machine_type.cpus,
+            memory_gb: machine_type.memory_gb,
             ..self.worker_template.clone()
-        }
+        };
+        let cloud = self.clone();
+        self.networks.spawn(Box::pin(async move {
+            sleep(boot_s).await;
+            cloud.start_worker(settings);
+        }));
+        name
     }
 
     fn machine_addr(&self, number: u32) -> SocketAddr {
@@ -159,6 +169,12 @@
         self.machines.borrow().values().filter_map(|machine| machine.worker.clone()).collect()
     }
 
+    /// Returns the number of machines of a type that exist at the moment.
+    pub fn rented_machines(&self, machine_type: &str) -> usize {
+        let machines = self.machines.borrow();
+        machines.values().filter(|machine| machine.machine_type == machine_type).count()
+    }
+
     /// Reclaims a machine without an interruption notice.
     pub fn reclaim(&self, name: &str) {
         if let Some(machine) = self.machines.borrow_mut().remove(name) {
@@ -198,6 +214,8 @@
         if let Some(machines) = self.answered_rentals.borrow().get(&request.request) {
             return json_response(200, &MachineNames { machines: machines.clone() });
         }
+        let known = self.machine_types.iter().find(|known| known.name == request.machine_type);
+        let Some(machine_type) = known else { return empty_response(400) };
         let free_capacity = self.capacity.get().saturating_sub(self.machines.borrow().len());
         let count = (request.count as usize).min(free_capacity);
         if count == 0 {
@@ -205,8 +223,9 @@
         }
         self.executed_rentals.set(self.executed_rentals.get() + 1);
         let boot_s = self.boot_s.get();
-        let machines: Vec<MachineName> =
-            (0..count).map(|_| self.add_machine(&request.zone, request.spot, boot_s)).collect();
+        let add_machine =
+            |_| self.add_machine_of_type(machine_type, &request.zone, request.spot, boot_s);
+        let machines: Vec<MachineName> = (0..count).map(add_machine).collect();
         self.answered_rentals.borrow_mut().insert(request.request.clone(), machines.clone());
         json_response(200, &MachineNames { machines })
     }
--- a/crates/fakes/src/worker/execution.rs
+++ b/crates/fakes/src/worker/execution.rs
@@ -3,7 +3,7 @@
 use super::{FakeWorker, Task, WorkerState};
 use crate::{now, sleep};
 use corkfield_wire::worker::{ExitCause, Order, TaskPhase};
-use corkfield_wire::{Attempt, TaskId};
+use corkfield_wire::{Attempt, JobSpec, TaskId};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -107,9 +107,7 @@
         }
         let cause = match self.history.plan(&task.job) {
             None => Some(ExitCause::NoSuchTask),
-            Some(plan) if self.used_cpus(state) + plan.spec.cpus > self.settings.cpus => {
-                Some(ExitCause::NoRoom)
-            }
+            Some(plan) if !self.has_room_for(state, &plan.spec) => Some(ExitCause::NoRoom),
             Some(_) => None,
         };
         let phase = if cause.is_some() { TaskPhase::Exited } else { TaskPhase::Fetching };
@@ -117,9 +115,15 @@
         state.tasks.insert(task, Task { attempt, phase, cause, phase_ends_at });
     }
 
-    fn used_cpus(&self, state: &WorkerState) -> f64 {
+    /// Returns whether a task of the job fits beside the tasks that have not exited.
+    fn has_room_for(&self, state: &WorkerState, spec: &JobSpec) -> bool {
         let unfinished = state.tasks.iter().filter(|(_, task)| task.phase != TaskPhase::Exited);
-        unfinished.filter_map(|(id, _)| self.history.plan(&id.job).map(|plan| plan.spec.cpus)).sum()
+        let (mut cpus, mut memory_gb) = (spec.cpus, spec.memory_gb);
+        for plan in unfinished.filter_map(|(id, _)| self.history.plan(&id.job)) {
+            cpus += plan.spec.cpus;
+            memory_gb += plan.spec.memory_gb;
+        }
+        cpus <= self.settings.cpus && memory_gb <= self.settings.memory_gb
     }
 
     fn stop_task(&self, state: &mut WorkerState, id: &TaskId, attempt: Attempt) {
--- a/crates/fakes/src/worker/mod.rs
+++ b/crates/fakes/src/worker/mod.rs
@@ -38,6 +38,8 @@
     pub spot: bool,
     /// The CPUs that tasks may use.
     pub cpus: f64,
+    /// The memory that tasks may use, in GB.
+    pub memory_gb: f64,
     /// The time between two heartbeats if nothing changes.
     pub heartbeat_interval: Duration,
     /// The time for which the worker keeps its tasks after it sent the last heartbeat that was
