Random supply with a seed: jobs of mixed shapes, machines of several types

The random driver of the scheduler has one type of machine, tasks that fit on it and no scaling, so it could not meet jobs that wait for a machine that fits.

A second one drives scaling and placement together: jobs that are large by CPUs, memory or GPUs, bound to a zone, types or on-demand machines, in one zone or spread; teams with and without a limit; machines that are reclaimed or fail tasks, and pools without capacity. Three minutes of quiet follow, in which no job of a team under its limit may wait for 90 s, by the users' rule. It has its own plain definition of waiting.

--- a/crates/core/tests/scheduler/main.rs
+++ b/crates/core/tests/scheduler/main.rs
@@ -8,6 +8,7 @@
 mod machines;
 mod placement;
 mod random_faults;
+mod random_supply;
 mod restarts;
 mod starts;
 mod supply;
--- a/crates/core/tests/scheduler/random_faults/mod.rs
+++ b/crates/core/tests/scheduler/random_faults/mod.rs
@@ -36,7 +36,7 @@
     }
 }
 
-fn seeds_from_environment() -> Option<std::ops::Range<u64>> {
+pub(crate) fn seeds_from_environment() -> Option<std::ops::Range<u64>> {
     let text = std::env::var(SEEDS_VARIABLE).ok()?;
     let (first, end) = text.split_once("..").expect("seeds as in 17..18");
     Some(first.parse().expect("the first seed")..end.parse().expect("the seed after the last"))
--- a/crates/core/tests/scheduler/supply.rs
+++ b/crates/core/tests/scheduler/supply.rs
@@ -1,11 +1,11 @@
 //! Tests of supply: which machines count as room for which waiting tasks, and what is rented and
 //! returned because of it.
 
-use crate::support::{config, empty_scheduler, heartbeat_from, job_record};
+use crate::support::{config, empty_scheduler, heartbeat_from, job_record, mixed_machine_types};
 use corkfield_core::{
     check_schedulable, Action, Config, JobState, MachineState, RentalFailure, Scheduler, SupplyGap,
 };
-use corkfield_wire::cloud::{MachineType, RentRequest};
+use corkfield_wire::cloud::RentRequest;
 use corkfield_wire::records::JobRecord;
 use corkfield_wire::settings::Objective;
 use corkfield_wire::worker::{ExitCause, TaskPhase, TaskStatus, WorkerHeartbeat};
@@ -63,35 +63,10 @@
     assert_eq!(shape.longest_waiting, job_id(1));
 }
 
-/// Returns a machine type that is offered in the zones `z1` and `z2`.
-fn machine_type(name: &str, cpus: f64, gpus: f64, memory_gb: f64, spot_price: f64) -> MachineType {
-    MachineType {
-        name: name.into(),
-        cpus,
-        gpus,
-        memory_gb,
-        price: 4.0 * spot_price,
-        spot_price,
-        zones: vec!["z1".into(), "z2".into()],
-        ..crate::support::machine_type()
-    }
-}
-
-/// Returns four machine types: small, medium and large ones, and one with GPUs. Per CPU, medium ones
-/// are the most expensive of those without GPUs.
-fn machine_types() -> Vec<MachineType> {
-    vec![
-        machine_type("small", 4.0, 0.0, 16.0, 0.07),
-        machine_type("medium", 8.0, 0.0, 64.0, 0.18),
-        machine_type("large", 32.0, 0.0, 128.0, 0.63),
-        machine_type("gpu", 8.0, 2.0, 64.0, 1.0),
-    ]
-}
-
-/// Creates a scheduler that knows [`machine_types`], without machines.
+/// Creates a scheduler that knows [`mixed_machine_types`], without machines.
 fn scheduler_with_types() -> Scheduler {
     let mut scheduler = empty_scheduler(1);
-    scheduler.set_machine_types(machine_types());
+    scheduler.set_machine_types(mixed_machine_types());
     scheduler
 }
 
@@ -218,7 +193,7 @@
     let change = |spec: &mut JobSpec| spec.cpus = 32.000_000_5;
     claim_job(&mut scheduler, 1, 1, change, now);
     let job = scheduler.job(&job_id(1)).expect("a claimed job");
-    assert_eq!(check_schedulable(job.spec(), &config().teams, &machine_types()), Ok(()));
+    assert_eq!(check_schedulable(job.spec(), &config().teams, &mixed_machine_types()), Ok(()));
     assert_eq!(requested_types(&place_and_scale(&mut scheduler, now)), ["large"]);
 }
 
@@ -421,7 +396,7 @@
     };
     let config = Config { objectives: vec![objective], ..config() };
     let mut scheduler = Scheduler::new(config, Term::new(1), 1);
-    scheduler.set_machine_types(machine_types());
+    scheduler.set_machine_types(mixed_machine_types());
     let medium = spot_machine("host-9", "medium", "z1");
     let machines = [&small_machines()[..], &[medium]].concat();
     send_heartbeats(&mut scheduler, &machines, 1, start);
--- a/crates/core/tests/scheduler/support.rs
+++ b/crates/core/tests/scheduler/support.rs
@@ -44,6 +44,37 @@
     }
 }
 
+/// Returns a machine type that is offered in the zones `z1` and `z2`.
+fn type_in_two_zones(
+    name: &str,
+    cpus: f64,
+    gpus: f64,
+    memory_gb: f64,
+    spot_price: f64,
+) -> MachineType {
+    MachineType {
+        name: name.into(),
+        cpus,
+        gpus,
+        memory_gb,
+        price: 4.0 * spot_price,
+        spot_price,
+        zones: vec!["z1".into(), "z2".into()],
+        ..machine_type()
+    }
+}
+
+/// Returns four machine types: small, medium and large ones, and one with GPUs. Per CPU, medium ones
+/// are the most expensive of those without GPUs.
+pub fn mixed_machine_types() -> Vec<MachineType> {
+    vec![
+        type_in_two_zones("small", 4.0, 0.0, 16.0, 0.07),
+        type_in_two_zones("medium", 8.0, 0.0, 64.0, 0.18),
+        type_in_two_zones("large", 32.0, 0.0, 128.0, 0.63),
+        type_in_two_zones("gpu", 8.0, 2.0, 64.0, 1.0),
+    ]
+}
+
 /// Returns the record of a machine of the only type.
 pub fn machine_record() -> MachineRecord {
     MachineRecord {
