Reserve for urgent jobs only what their team's limit allows

What callers saw: a job waits for ever beside a machine that fits, is empty and well, while its team is under its limit.

Cause: placement reserves capacity for all waiting tasks of an urgent job, also for those that may not start because the job's team is at its limit.

The waiting job, the machine's health, the zones and the queue were printed: the job ahead of it in the queue has twelve waiting tasks of a team at its limit, and the overview's reason is `room not used`.

Only as many tasks as the limit allows are reserved for now, so what is reserved can be used.

Test: a_job_whose_team_is_at_its_limit_reserves_no_capacity fails before and passes.

--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -9,7 +9,7 @@
 use crate::job::Job;
 use crate::machine::Resources;
 use crate::scheduler::Action;
-use crate::team::{has_limit, is_within_guarantee, is_within_limit, Usage};
+use crate::team::{has_limit, is_within_guarantee, is_within_limit, tasks_within_limit, Usage};
 use corkfield_wire::{JobId, TaskId};
 use rand::rngs::SmallRng;
 use std::time::Instant;
@@ -95,6 +95,20 @@
         is_within_limit && (!is_guarantee_only || is_within_guarantee(team, usage))
     }
 
+    /// Returns how many of the job's waiting tasks are within the team's limit (S8).
+    pub(super) fn tasks_within_limit(&self, job: &Job) -> u32 {
+        let team = self.cluster.team_of(job);
+        let waiting = job.waiting_tasks();
+        match self.unaccounted_usage {
+            Some(unaccounted_usage) => {
+                let used = self.usage[job.team].plus(unaccounted_usage);
+                tasks_within_limit(team, used, job.spec(), waiting)
+            }
+            None if has_limit(team) => 0,
+            None => waiting,
+        }
+    }
+
     /// Returns whether the job has to wait until reconciliation is complete: it has a zone
     /// constraint, which must hold for all its tasks (S8), and the zones of tasks that earlier
     /// controllers may have started are not known yet.
--- a/crates/core/src/placement/reservation.rs
+++ b/crates/core/src/placement/reservation.rs
@@ -8,10 +8,11 @@
 impl PlacementPass<'_> {
     /// Reserves capacity for the waiting tasks of an urgent job, on machines where the capacity is
     /// free or becomes free when tasks of lower priority end. Without a reservation, smaller tasks
-    /// of lower priority would use the freed capacity first.
+    /// of lower priority would use the freed capacity first. Nothing is reserved for tasks beyond
+    /// the team's limit: they can't use it, and other jobs would wait beside it.
     pub(super) fn reserve_for_urgent(&mut self, id: &JobId) {
         let Some(job) = self.cluster.jobs.get(id) else { return };
-        let mut unreserved_tasks = job.waiting_tasks();
+        let mut unreserved_tasks = self.tasks_within_limit(job);
         if !job.is_urgent() || job.spec().cpus <= 0.0 || unreserved_tasks == 0 {
             return;
         }
--- a/crates/core/src/team.rs
+++ b/crates/core/src/team.rs
@@ -47,6 +47,20 @@
     is_within_cap(team.cpus_max, used.cpus) && is_within_cap(team.gpus_max, used.gpus)
 }
 
+/// Returns how many of up to `tasks` tasks of a job the team's limit allows in addition to `used`.
+pub(crate) fn tasks_within_limit(team: &Team, used: Usage, spec: &JobSpec, tasks: u32) -> u32 {
+    let per_task = Usage::of_tasks(spec, 1);
+    let count = |cap: f64, used: f64, need: f64| {
+        if cap <= 0.0 || need <= 0.0 {
+            return u32::MAX;
+        }
+        ((cap + AMOUNT_TOLERANCE - used) / need).max(0.0) as u32
+    };
+    let by_cpus = count(team.cpus_max, used.cpus, per_task.cpus);
+    let by_gpus = count(team.gpus_max, used.gpus, per_task.gpus);
+    tasks.min(by_cpus).min(by_gpus)
+}
+
 /// Returns whether the team has a guarantee.
 fn has_guarantee(team: &Team) -> bool {
     team.cpus > 0.0 || team.gpus > 0.0
--- a/crates/core/tests/scheduler/fairness.rs
+++ b/crates/core/tests/scheduler/fairness.rs
@@ -183,3 +183,35 @@
     scheduler.run_placement_pass(later);
     assert_eq!(placed_task_count(&scheduler), 1, "only one task is placed");
 }
+
+/// Guards against jobs that wait for ever beside a machine with room, because an urgent job whose
+/// team is at its limit keeps the room reserved for tasks that may not start.
+#[test]
+fn a_job_whose_team_is_at_its_limit_reserves_no_capacity() {
+    let now = Instant::now();
+    let mut config = config();
+    config.teams.push(Team {
+        name: "limited".into(),
+        cpus: 0.0,
+        cpus_max: 2.0,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    });
+    let mut scheduler = Scheduler::new(config, Term::new(1), 1);
+    scheduler.set_machine_types(vec![machine_type()]);
+    scheduler.on_heartbeat(&heartbeat(1, 1, Vec::new()), true, now);
+    scheduler.on_machine_record_written("host-1", true);
+    let mut limited = numbered_job(1, 4, Priority::High);
+    limited.spec.team = "limited".into();
+    let mut other = numbered_job(2, 1, Priority::High);
+    // The job comes after the limited one in the queue.
+    other.spec.estimate_s = 300.0;
+    let other_id = other.spec.id.clone();
+    for record in [limited, other] {
+        scheduler.on_job_claimed(record, TaskSet::default(), Revision::new(5), Duration::ZERO, now);
+    }
+    scheduler.run_placement_pass(now);
+    assert_eq!(placed_task_count(&scheduler), 2, "the team's limit");
+    let other = scheduler.job(&other_id).expect("a claimed job");
+    assert_eq!(other.placements().len(), 1, "the machine has two free CPUs");
+}
