Use an answer to a relayed heartbeat only for the process that relayed it

What callers saw, on the stand-ins: a task that had completed ran again, and a task that had been moved ran on two machines at once.

Cause: each process of a relaying controller numbered the heartbeats that it relays from 1, and the leader's answer names nothing but the number. A controller that is back within a second took a late copy of an answer to its former process for the answer to its own heartbeat and passed its starts on. The check of the generation does not help, as it is that of the whole claim.

The stand-ins learn to deliver late copies of what was carried out: frames between controllers, direct orders, transactions, rentals and deletions, also to a process or machine that is back within 0.3 s.

Numbers now begin at the random number that identifies the process, and an answer counts once, for the heartbeat with its number, from the controller that was asked. So a copy for a former process matches no heartbeat. The frames are as before.

For the other kinds of copies no fault was found.

--- a/crates/corkfield/src/node.rs
+++ b/crates/corkfield/src/node.rs
@@ -78,9 +78,8 @@
     let name = &components.env.name;
     let client_addr = components.env.settings.platform.listen;
     tracing::info!(controller = %name, listen = %client_addr, "controller started");
-    let links = Rc::new(PeerLinks::new(max_queued_frames(
-        components.env.settings.connection_limits().accepted,
-    )));
+    let max_queued = max_queued_frames(components.env.settings.connection_limits().accepted);
+    let links = Rc::new(PeerLinks::new(max_queued, components.env.process));
     let heartbeat_handler = Rc::new(build_heartbeat_handler(&components, &links));
     start_http_server(
         &components,
--- a/crates/corkfield/src/peer_links.rs
+++ b/crates/corkfield/src/peer_links.rs
@@ -38,24 +38,34 @@
 pub struct PeerLinks {
     /// The frame queues of the open links, by controller.
     queues: RefCell<BTreeMap<ControllerName, mpsc::Sender<Frame>>>,
-    /// The relayed heartbeats without an answer, by number. Each sender passes the answer to the
-    /// request that waits for it.
-    pending_relays: RefCell<BTreeMap<u64, oneshot::Sender<Response>>>,
-    /// Number of the last relayed heartbeat.
+    /// The relayed heartbeats without an answer, by number.
+    pending_relays: RefCell<BTreeMap<u64, PendingRelay>>,
+    /// Number of the last relayed heartbeat. The numbers begin at a random one that differs between
+    /// processes, so a late copy of an answer to an earlier process has the number of no heartbeat
+    /// that this process relays (S3).
     last_relay_number: Cell<u64>,
     /// Maximum number of frames in the queue of each link, and of relayed heartbeats without an
     /// answer.
     max_queued: usize,
 }
 
+/// A relayed heartbeat without an answer.
+struct PendingRelay {
+    /// The controller that was asked.
+    leader: ControllerName,
+    /// Passes the answer to the request that waits for it.
+    answer: oneshot::Sender<Response>,
+}
+
 impl PeerLinks {
     /// Creates a set of links. `max_queued` limits the frames in the queue of each link, and the
-    /// relayed heartbeats that wait for an answer.
-    pub fn new(max_queued: usize) -> Self {
+    /// relayed heartbeats that wait for an answer. `process` is the random number that identifies
+    /// this process.
+    pub fn new(max_queued: usize, process: u64) -> Self {
         Self {
             queues: RefCell::default(),
             pending_relays: RefCell::default(),
-            last_relay_number: Cell::new(0),
+            last_relay_number: Cell::new(process),
             max_queued,
         }
     }
@@ -72,10 +82,11 @@
         if self.pending_relays.borrow().len() >= self.max_queued {
             return None;
         }
-        let number = self.last_relay_number.get() + 1;
+        let number = self.last_relay_number.get().wrapping_add(1);
         self.last_relay_number.set(number);
-        let (sender, receiver) = oneshot::channel();
-        self.pending_relays.borrow_mut().insert(number, sender);
+        let (answer, receiver) = oneshot::channel();
+        let pending = PendingRelay { leader: ControllerName::from(leader), answer };
+        self.pending_relays.borrow_mut().insert(number, pending);
         let sent = link.try_send(Frame::WorkerHeartbeat { number, body: body.to_vec() });
         let answer = match sent {
             Ok(()) => timeout(RELAY_TIMEOUT, receiver).await.ok().and_then(Result::ok),
@@ -110,10 +121,20 @@
         self.queues.borrow_mut().remove(peer);
     }
 
-    /// Passes the answer to a relayed heartbeat on to the request that waits for it.
-    fn complete_relay(&self, number: u64, response: Response) {
-        if let Some(sender) = self.pending_relays.borrow_mut().remove(&number) {
-            let _ = sender.send(response);
+    /// Passes a peer's answer to a relayed heartbeat on to the request that waits for it. Each answer
+    /// is used once, and only if it is the asked peer's answer to a heartbeat of this process (S3):
+    /// its starts may have been executed already, and a worker that has forgotten an attempt would
+    /// run it again.
+    fn complete_relay(&self, peer: &str, number: u64, response: Response) {
+        let mut pending_relays = self.pending_relays.borrow_mut();
+        let is_awaited =
+            pending_relays.get(&number).is_some_and(|pending| pending.leader.as_str() == peer);
+        if !is_awaited {
+            tracing::debug!(controller = peer, number, "answer to no relayed heartbeat dropped");
+            return;
+        }
+        if let Some(pending) = pending_relays.remove(&number) {
+            let _ = pending.answer.send(response);
         }
     }
 }
--- a/crates/corkfield/src/peer_links/outgoing.rs
+++ b/crates/corkfield/src/peer_links/outgoing.rs
@@ -75,7 +75,7 @@
         while let Ok(Some(frame)) = reader.read_frame().await {
             match frame {
                 Frame::Answer { number, status, body } => {
-                    self.links.complete_relay(number, Response::new(status, body));
+                    self.links.complete_relay(peer, number, Response::new(status, body));
                 }
                 Frame::Acknowledged { jobs } => {
                     self.cancellation_outbox.record_acknowledgement(peer, &jobs)
--- a/crates/corkfield/tests/scenarios/cluster/mod.rs
+++ b/crates/corkfield/tests/scenarios/cluster/mod.rs
@@ -20,7 +20,8 @@
 use corkfield_wire::records::{job_key, JobRecord, LeaderRecord, LEADER_KEY};
 use corkfield_wire::{JobId, JobSpec, TaskId, Term};
 use settings::{
-    client_addr, cloud_addr, controller_settings, store_addr, worker_template, SMALL_LIMITS,
+    client_addr, cloud_addr, controller_settings, store_addr, worker_template, PEER_PORT,
+    SMALL_LIMITS,
 };
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -154,6 +155,7 @@
         machines: u32,
     ) -> Self {
         let net = MemoryNet::default();
+        net.keep_frames(PEER_PORT);
         let history = Rc::new(ExecutionHistory::default());
         history.cancel_limit.set(Duration::from_secs_f64(CANCEL_S));
         let settings = controller_settings(0, limits, operator.clone());
--- a/crates/corkfield/tests/scenarios/cluster/settings.rs
+++ b/crates/corkfield/tests/scenarios/cluster/settings.rs
@@ -27,6 +27,9 @@
 pub const SMALL_LIMITS: PlatformLimits =
     PlatformLimits { state_rps: 200.0, write_rps: 90.0, cloud_rps: 5.0, sockets: 500 };
 
+/// The port of the connections between controllers.
+pub const PEER_PORT: u16 = 8081;
+
 /// Returns the address at which users and workers reach a controller.
 pub fn client_addr(controller: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, controller as u8 + 1], 8080))
@@ -60,12 +63,12 @@
     let name = CONTROLLERS[controller];
     let _ = write!(
         text,
-        "node_name = \"{name}\"\ndomain = \"z1\"\nclient_listen = \"10.0.0.{number}:8080\"\nback = \"10.0.0.{number}:8081\"\n",
+        "node_name = \"{name}\"\ndomain = \"z1\"\nclient_listen = \"10.0.0.{number}:8080\"\nback = \"10.0.0.{number}:{PEER_PORT}\"\n",
     );
     for (other, name) in CONTROLLERS.iter().enumerate().filter(|(other, _)| *other != controller) {
         let _ = write!(
             text,
-            "[[seeds]]\nnode_name = \"{name}\"\ndomain = \"z1\"\nendpoint = \"10.0.0.{}:8081\"\n",
+            "[[seeds]]\nnode_name = \"{name}\"\ndomain = \"z1\"\nendpoint = \"10.0.0.{}:{PEER_PORT}\"\n",
             other + 1
         );
     }
--- a/crates/corkfield/tests/scenarios/main.rs
+++ b/crates/corkfield/tests/scenarios/main.rs
@@ -4,6 +4,7 @@
 mod cancellations;
 mod cluster;
 mod combined_faults;
+mod copies;
 mod delayed_heartbeats;
 mod fleet;
 mod jobs;
--- a/crates/fakes/src/cloud.rs
+++ b/crates/fakes/src/cloud.rs
@@ -48,6 +48,11 @@
     pub boot_s: Cell<f64>,
     /// Whether the answers to rental requests are lost. The requests are still executed.
     pub is_losing_answers: Cell<bool>,
+    /// If set, a copy of each rental and each deletion that was executed arrives again after this
+    /// many seconds.
+    pub copy_delay_s: Cell<Option<f64>>,
+    /// The number of copies of rentals and deletions that arrived.
+    pub copies: Cell<u32>,
     machines: RefCell<BTreeMap<MachineName, RentedMachine>>,
     /// The machines that were rented for each rental request; a repeated request gets the same
     /// machines.
@@ -79,6 +84,8 @@
             is_down: Cell::new(false),
             boot_s,
             is_losing_answers: Cell::new(false),
+            copy_delay_s: Cell::new(None),
+            copies: Cell::new(0),
             machines: RefCell::default(),
             answered_rentals: RefCell::default(),
             next_machine: Cell::new(0),
@@ -195,12 +202,34 @@
                 json_response(200, &MachineTypes { types: self.machine_types.clone() })
             }
             ("GET", PATH_MACHINES) => self.list(&request.target),
-            ("POST", PATH_MACHINES) => self.answer_rental(&request.body).await,
-            ("POST", PATH_DELETE) => self.delete(&request.body),
+            ("POST", PATH_MACHINES) => {
+                self.copy_later(&request);
+                self.answer_rental(&request.body).await
+            }
+            ("POST", PATH_DELETE) => {
+                self.copy_later(&request);
+                self.delete(&request.body)
+            }
             _ => empty_response(404),
         }
     }
 
+    /// Executes a copy of the request after the delay for copies, if one is set.
+    fn copy_later(self: &Rc<Self>, request: &Request) {
+        let Some(delay_s) = self.copy_delay_s.get() else { return };
+        let is_rental = request.path() == PATH_MACHINES;
+        let (cloud, body) = (self.clone(), request.body.clone());
+        tokio::task::spawn_local(async move {
+            sleep(delay_s).await;
+            cloud.copies.set(cloud.copies.get() + 1);
+            if !is_rental {
+                cloud.delete(&body);
+            } else if let Ok(rental) = serde_json::from_slice(&body) {
+                cloud.rent(&rental);
+            }
+        });
+    }
+
     async fn answer_rental(self: &Rc<Self>, body: &[u8]) -> Response {
         let Ok(request) = serde_json::from_slice(body) else { return empty_response(400) };
         let answer = self.rent(&request);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod cloud;
+mod frame_copies;
 mod history;
 mod net;
 mod process;
--- a/crates/fakes/src/net.rs
+++ b/crates/fakes/src/net.rs
@@ -1,6 +1,7 @@
 //! An in-memory network of hosts. A partition between two hosts delays their messages until it is
 //! healed; a host that has stopped refuses connections.
 
+use crate::frame_copies::{FrameCopies, FrameDirection, FrameSplitter};
 use corkfield_http::net::LocalFuture;
 use corkfield_http::{Listener, Network, Stream, Tcp};
 use std::cell::{Cell, RefCell};
@@ -57,6 +58,8 @@
     latency: Cell<Duration>,
     spawn: mpsc::UnboundedSender<Task>,
     connections: RefCell<BTreeMap<String, ConnectionCount>>,
+    /// Late copies of the frames between controllers.
+    frame_copies: FrameCopies,
 }
 
 impl NetworkState {
@@ -161,6 +164,7 @@
             latency: Cell::new(DEFAULT_LATENCY),
             spawn,
             connections: RefCell::default(),
+            frame_copies: FrameCopies::default(),
         }))
     }
 }
@@ -184,6 +188,33 @@
         self.0.partition_healed.notify_waiters();
     }
 
+    /// Keeps the frames that controllers with this port for other controllers send each other, for
+    /// late copies.
+    pub fn keep_frames(&self, port: u16) {
+        self.0.frame_copies.keep(port);
+    }
+
+    /// From now on, precedes each frame that `to` receives over connections that it opened to `from`
+    /// by copies of all frames that were kept so far. Returns the number of these frames.
+    pub fn deliver_copies_of_answers(&self, from: &str, to: &str) -> usize {
+        self.deliver_frame_copies(from, to, false)
+    }
+
+    /// Does the same for the connections that `from` opened to `to`.
+    pub fn deliver_copies_of_requests(&self, from: &str, to: &str) -> usize {
+        self.deliver_frame_copies(from, to, true)
+    }
+
+    fn deliver_frame_copies(&self, from: &str, to: &str, is_to_server: bool) -> usize {
+        let (from, to) = (from.to_owned(), to.to_owned());
+        self.0.frame_copies.deliver(FrameDirection { from, to, is_to_server })
+    }
+
+    /// Returns the number of copies that were delivered so far.
+    pub fn delivered_frame_copies(&self) -> usize {
+        self.0.frame_copies.delivered()
+    }
+
     /// Sets the time from sending a message to its delivery.
     pub fn set_latency(&self, latency: Duration) {
         self.0.latency.set(latency);
@@ -227,28 +258,36 @@
 
     /// Opens a connection over a link; returns the stream of the client, which is this host, and
     /// that of the server.
-    fn open_connection(&self, link: Link) -> (DuplexStream, DuplexStream) {
+    fn open_connection(&self, link: Link, port: u16) -> (DuplexStream, DuplexStream) {
         let (client_stream, client_pipe) = tokio::io::duplex(PIPE_BYTES);
         let (server_pipe, server_stream) = tokio::io::duplex(PIPE_BYTES);
         let (client_read, client_write) = tokio::io::split(client_pipe);
         let (server_read, server_write) = tokio::io::split(server_pipe);
         let connection = CountedConnection::new(self.net.clone(), link.clone());
-        self.spawn_forwarding(link.clone(), client_read, server_write, Some(connection));
-        self.spawn_forwarding(link, server_read, client_write, None);
+        let copies = &self.net.frame_copies;
+        let Link { from, to } = link.clone();
+        let to_server = FrameDirection { from: from.clone(), to: to.clone(), is_to_server: true };
+        let to_client = FrameDirection { from: to, to: from, is_to_server: false };
+        let to_server = copies.splitter(to_server, port);
+        let to_client = copies.splitter(to_client, port);
+        let forward_to_server = Forwarding { link: link.clone(), splitter: to_server };
+        let forward_to_client = Forwarding { link, splitter: to_client };
+        self.spawn_forwarding(forward_to_server, client_read, server_write, Some(connection));
+        self.spawn_forwarding(forward_to_client, server_read, client_write, None);
         (client_stream, server_stream)
     }
 
     /// Forwards one direction of a connection. `connection` stays counted until `from` is closed.
     fn spawn_forwarding(
         &self,
-        link: Link,
+        forwarding: Forwarding,
         from: ReadHalf<DuplexStream>,
         to: WriteHalf<DuplexStream>,
         connection: Option<CountedConnection>,
     ) {
         let net = self.net.clone();
         let _ = self.net.spawn.send(Box::pin(async move {
-            forward(net, link, from, to).await;
+            forward(net, forwarding, from, to).await;
             drop(connection);
         }));
     }
@@ -265,7 +304,7 @@
             let link = Link::new(&self.name, &self.listening_host(addr)?);
             self.net.wait_until_healed(&link).await;
             let incoming = self.stream_sender(addr)?;
-            let (client_stream, server_stream) = self.open_connection(link);
+            let (client_stream, server_stream) = self.open_connection(link, addr.port());
             incoming.send(Box::new(server_stream)).map_err(|_| connection_refused())?;
             Ok(Box::new(client_stream) as Stream)
         })
@@ -307,10 +346,17 @@
     }
 }
 
+/// One direction of a connection.
+struct Forwarding {
+    link: Link,
+    /// Splits the bytes into frames, if their copies may be delivered.
+    splitter: Option<FrameSplitter>,
+}
+
 /// Forwards bytes in one direction until the sender closes the stream or the receiver has ended.
 async fn forward(
     net: Rc<NetworkState>,
-    link: Link,
+    mut forwarding: Forwarding,
     mut from: ReadHalf<DuplexStream>,
     mut to: WriteHalf<DuplexStream>,
 ) {
@@ -319,8 +365,13 @@
         tokio::time::sleep(net.latency.get()).await;
         // Bytes sent before or during a partition arrive after it, even if the sender has timed
         // out meanwhile.
-        net.wait_until_healed(&link).await;
-        if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
+        net.wait_until_healed(&forwarding.link).await;
+        let sent = &buffer[..length];
+        let written = match &mut forwarding.splitter {
+            Some(splitter) => to.write_all(&splitter.with_copies(sent)).await,
+            None => to.write_all(sent).await,
+        };
+        if length == 0 || written.is_err() {
             break;
         }
     }
--- a/crates/fakes/src/store/mod.rs
+++ b/crates/fakes/src/store/mod.rs
@@ -39,6 +39,9 @@
     LoseAnswer,
     /// The request is executed after this many seconds, but its answer is lost.
     DelayAndLoseAnswer(f64),
+    /// The request is executed and answered immediately, and a copy of it is executed after this
+    /// many seconds.
+    Repeat(f64),
     /// The request is neither executed nor answered.
     Drop,
 }
@@ -168,6 +171,16 @@
                 sleep(seconds).await;
                 answer
             }
+            Fault::Repeat(seconds) => {
+                let answer = self.answer(&request, &is_refusing).await;
+                tokio::task::spawn_local(async move {
+                    sleep(seconds).await;
+                    if !self.is_down.get() {
+                        self.answer(&request, &is_refusing).await;
+                    }
+                });
+                answer
+            }
             Fault::Drop => std::future::pending().await,
             Fault::LoseAnswer => {
                 self.answer(&request, &is_refusing).await;
--- a/crates/fakes/src/worker/commands.rs
+++ b/crates/fakes/src/worker/commands.rs
@@ -3,7 +3,7 @@
 use super::FakeWorker;
 use crate::{empty_response, json_response, sleep};
 use corkfield_http::{serve, Limits, Network, Request, Response};
-use corkfield_wire::worker::{DirectOrders, PATH_COMMANDS};
+use corkfield_wire::worker::{DirectOrders, Order, PATH_COMMANDS};
 use std::rc::Rc;
 
 impl FakeWorker {
@@ -35,7 +35,14 @@
             tokio::task::spawn_local(self.execute_after_delay(direct, delay_s));
             return std::future::pending().await;
         }
-        let status = if self.execute_direct(direct) { 200 } else { 409 };
+        let starts = direct.orders.iter().filter(|order| matches!(order, Order::Start { .. }));
+        self.direct_starts.set(self.direct_starts.get() + starts.count() as u32);
+        let copy = direct.clone();
+        let is_executed = self.execute_direct(direct);
+        if let Some(delay_s) = self.command_copy_delay_s.get().filter(|_| is_executed) {
+            tokio::task::spawn_local(self.clone().execute_copy_after_delay(copy, delay_s));
+        }
+        let status = if is_executed { 200 } else { 409 };
         json_response(status, &self.next_heartbeat())
     }
 
@@ -52,6 +59,15 @@
         }
     }
 
+    /// Executes a copy of direct orders that were executed before, after a delay.
+    async fn execute_copy_after_delay(self: Rc<Self>, direct: DirectOrders, delay_s: f64) {
+        sleep(delay_s).await;
+        self.wait_while_hung().await;
+        if !self.is_dead.get() && self.execute_direct(direct) {
+            self.command_copies.set(self.command_copies.get() + 1);
+        }
+    }
+
     /// Executes direct orders. Returns false if their term is lower than the worker's term or their
     /// agent epoch is not the current one.
     fn execute_direct(&self, direct: DirectOrders) -> bool {
--- a/crates/fakes/src/worker/mod.rs
+++ b/crates/fakes/src/worker/mod.rs
@@ -116,6 +116,11 @@
     /// If set, direct orders are executed after this many seconds and never answered.
     pub command_delay_s: Cell<Option<f64>>,
     delayed_commands: Cell<u32>,
+    /// If set, a copy of each message of direct orders that was executed arrives again after this
+    /// many seconds, also after a restart of the worker.
+    pub command_copy_delay_s: Cell<Option<f64>>,
+    command_copies: Cell<u32>,
+    direct_starts: Cell<u32>,
     /// The number of restarts; identifies the current process.
     process: Cell<u32>,
     sent_heartbeats: RefCell<VecDeque<Vec<u8>>>,
@@ -145,6 +150,9 @@
             image_fetch_duration: Cell::new(DEFAULT_IMAGE_FETCH_DURATION),
             command_delay_s: Cell::new(None),
             delayed_commands: Cell::new(0),
+            command_copy_delay_s: Cell::new(None),
+            command_copies: Cell::new(0),
+            direct_starts: Cell::new(0),
             process: Cell::new(0),
             sent_heartbeats: RefCell::default(),
             undelivered_starts: Cell::new(0),
@@ -210,6 +218,16 @@
         self.delayed_commands.get()
     }
 
+    /// Returns the number of copies of direct orders that were executed.
+    pub fn command_copies(&self) -> u32 {
+        self.command_copies.get()
+    }
+
+    /// Returns the number of start orders that were sent as direct orders.
+    pub fn direct_starts(&self) -> u32 {
+        self.direct_starts.get()
+    }
+
     /// Returns the agent epoch, which starts at 1 and increases with each expired lease.
     pub fn agent_epoch(&self) -> AgentEpoch {
         self.state.borrow().agent_epoch
