Scaling leaves out machines without room for the smallest task early

Most machines have no room for any waiting task, and were looked up and grouped all the same.

A machine that holds tasks and has no room for the smallest need is left out before that.

--- a/crates/core/src/scaling/mod.rs
+++ b/crates/core/src/scaling/mod.rs
@@ -28,8 +28,8 @@
 use demand::{demand_by_shape, ShapeDemand, ShortJobs};
 use offers::{Offer, OfferBackoff};
 use pools::Pools;
-use recent_demand::RecentDemand;
-use room::Room;
+use recent_demand::{Headroom, RecentDemand};
+use room::{Room, RoomSource};
 use scale_in::{DrainReason, IdleUse};
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -125,14 +125,14 @@
         scale_in::update_idle_times(cluster, now);
         let pools = Pools::new(cluster);
         let demand = demand_by_shape(cluster, &pools, now);
-        let mut room = self.room(cluster, &pools, &demand, now);
+        let headroom = self.recent_demand.update(cluster, &pools, now);
+        let mut room = self.room(cluster, &pools, &demand, headroom.as_ref(), now);
         let missing = room.place_all(&demand);
         log_missing(&missing);
         let unserved = self.scale_out(cluster, &pools, &missing, &mut decisions, now);
         self.check_supply(cluster, &pools, &unserved, now);
         let expensive =
             if is_reconciled { scale_in::expensive_machines(cluster, &pools) } else { Vec::new() };
-        let headroom = self.recent_demand.update(cluster, &pools, now);
         let idle_use = IdleUse { room, unserved: &unserved, headroom };
         let idle = scale_in::dispensable_idle_machines(cluster, &pools, idle_use, now);
         decisions.drain(cluster, expensive, DrainReason::Expensive);
@@ -140,17 +140,29 @@
         decisions
     }
 
-    /// Returns the room on all machines that are up, on their way or requested.
+    /// Returns the room on all machines that are up, on their way or requested, for the demand and
+    /// for future jobs.
     fn room(
         &self,
         cluster: &Cluster,
         pools: &Pools<'_>,
         demand: &[ShapeDemand],
+        headroom: Option<&Headroom>,
         now: Instant,
     ) -> Room {
-        let short_jobs = ShortJobs::new(cluster);
-        let failed_on = demand.iter().flat_map(|demand| &demand.shape.failed_on).collect();
-        Room::new(cluster, pools, &self.rentals_in_flight, &short_jobs, &failed_on, now)
+        let shapes = demand.iter().map(|demand| &demand.shape);
+        let shapes = shapes.chain(headroom.map(|headroom| &headroom.shape));
+        let needs = shapes.map(|shape| shape.need);
+        let smallest_need = needs.reduce(|left, right| left.minimum(&right));
+        let source = RoomSource {
+            cluster,
+            pools,
+            rentals_in_flight: &self.rentals_in_flight,
+            short_jobs: ShortJobs::new(cluster),
+            failed_on: demand.iter().flat_map(|demand| &demand.shape.failed_on).collect(),
+            smallest_need: smallest_need.unwrap_or_default(),
+        };
+        Room::new(&source, now)
     }
 
     /// Returns the shapes of waiting tasks for which nothing was on its way at the last check.
--- a/crates/core/src/scaling/room.rs
+++ b/crates/core/src/scaling/room.rs
@@ -32,22 +32,28 @@
     is_idle: bool,
 }
 
+/// What the room for further tasks is collected from.
+pub(super) struct RoomSource<'a> {
+    pub(super) cluster: &'a Cluster,
+    pub(super) pools: &'a Pools<'a>,
+    pub(super) rentals_in_flight: &'a RentalsInFlight,
+    pub(super) short_jobs: ShortJobs,
+    /// Machines on which tasks of a waiting job have failed. They are kept apart from others.
+    pub(super) failed_on: BTreeSet<&'a MachineName>,
+    /// Smallest amount of each resource that any task needs for which room is sought.
+    pub(super) smallest_need: Resources,
+}
+
 /// Room for further tasks on all machines that provide supply.
 pub(super) struct Room {
     groups: Vec<RoomGroup>,
 }
 
 impl Room {
-    /// Collects the room of all machines that accept tasks, are booting or are requested. Machines
-    /// on which tasks of a waiting job have failed, as given by `failed_on`, are kept apart.
-    pub(super) fn new(
-        cluster: &Cluster,
-        pools: &Pools<'_>,
-        rentals_in_flight: &RentalsInFlight,
-        short_jobs: &ShortJobs,
-        failed_on: &BTreeSet<&MachineName>,
-        now: Instant,
-    ) -> Self {
+    /// Collects the room of all machines that accept tasks, are booting or are requested and have
+    /// room for the smallest need. Machines without a task are kept in any case.
+    pub(super) fn new(source: &RoomSource<'_>, now: Instant) -> Self {
+        let RoomSource { cluster, pools, .. } = source;
         let mut counts: BTreeMap<GroupKey<'_>, RoomGroup> = BTreeMap::new();
         let mut add = |group: RoomGroup, name| {
             let machines = group.machines;
@@ -59,13 +65,13 @@
             if !provides_supply(machine, heartbeat_timeout, now) {
                 continue;
             }
-            if let Some(group) = group_of_machine(machine, pools, short_jobs) {
-                let is_apart = failed_on.contains(&machine.name);
+            if let Some(group) = source.group_of_machine(machine) {
+                let is_apart = source.failed_on.contains(&machine.name);
                 let name = is_apart.then(|| machine.name.clone());
                 add(RoomGroup { name, ..group }, is_apart.then_some(&machine.name));
             }
         }
-        for request in rentals_in_flight.values() {
+        for request in source.rentals_in_flight.values() {
             let pool = pools.find(&request.machine_type, &request.zone, request.spot);
             let Some(pool) = pool else { continue };
             let group = RoomGroup {
@@ -205,33 +211,30 @@
     }
 }
 
-/// Returns the room of one machine as a group; `None` if it has none or its type is unknown.
-///
-/// A slow machine has none: it gets a task only once a job has waited for long and nothing else has
-/// room.
-fn group_of_machine(
-    machine: &Machine,
-    pools: &Pools<'_>,
-    short_jobs: &ShortJobs,
-) -> Option<RoomGroup> {
-    let pool = pools.of_machine(machine)?;
-    let room = machine.task_room()?;
-    let max_tasks = match room.limit {
-        TaskLimit::Unlimited => u32::MAX,
-        TaskLimit::OneTask => 1,
-        TaskLimit::OneLongWaitingTask => return None,
-    };
-    let mut free = room.free;
-    free.add(&short_jobs.soon_free_on(machine));
-    Some(RoomGroup {
-        pool: pool.index,
-        price: pool.price(),
-        free,
-        max_tasks,
-        machines: 1,
-        name: None,
-        is_idle: machine.state() == MachineState::Up && machine.tasks.is_empty(),
-    })
+impl RoomSource<'_> {
+    /// Returns the room of one machine as a group; `None` if it has too little or its type is
+    /// unknown.
+    ///
+    /// A slow machine has none: it gets a task only once a job has waited for long and nothing else
+    /// has room.
+    fn group_of_machine(&self, machine: &Machine) -> Option<RoomGroup> {
+        let room = machine.task_room()?;
+        let max_tasks = match room.limit {
+            TaskLimit::Unlimited => u32::MAX,
+            TaskLimit::OneTask => 1,
+            TaskLimit::OneLongWaitingTask => return None,
+        };
+        let mut free = room.free;
+        free.add(&self.short_jobs.soon_free_on(machine));
+        let is_idle = machine.state() == MachineState::Up && machine.tasks.is_empty();
+        if !is_idle && !free.can_fit(&self.smallest_need) {
+            return None;
+        }
+        let pool = self.pools.of_machine(machine)?;
+        let price = pool.price();
+        let pool = pool.index;
+        Some(RoomGroup { pool, price, free, max_tasks, machines: 1, name: None, is_idle })
+    }
 }
 
 /// Returns whether the machine accepts tasks, or is expected to once it is up.
