Rent only for tasks that their team's limit allows

What callers saw: machines that are rented and kept for tasks that can't start, as the job's team is at its limit. It costs money, and nothing waits for it.

Cause: demand counted all unfinished tasks; placement counts the team's limit.

Tasks that need a place are now counted up to what the limit leaves beside the tasks on machines; replacements for machines that probably lose their tasks count in addition, as those tasks are counted against the limit already.

Test: nothing_is_rented_for_tasks_beyond_a_teams_limit fails before (ten machines for two tasks) and passes.

The catalogue sites have no limits.

--- a/crates/core/src/scaling/demand.rs
+++ b/crates/core/src/scaling/demand.rs
@@ -8,6 +8,7 @@
 use crate::float_order::compare_f64;
 use crate::job::Job;
 use crate::machine::{Machine, Resources};
+use crate::team::{tasks_within_limit, Usage};
 use corkfield_wire::JobId;
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -49,11 +50,15 @@
     now: Instant,
 ) -> Vec<ShapeDemand> {
     let losing = tasks_on_losing_machines(cluster, now);
+    let mut usage = cluster.usage_by_team();
     let mut places: BTreeMap<TaskShape, f64> = BTreeMap::new();
     for (id, job) in cluster.jobs.iter().filter(|(_, job)| job.may_start_tasks()) {
         let losing = losing.get(id).copied().unwrap_or(0);
-        let missing = missing_places(cluster, job, losing);
+        let (team, spec) = (cluster.team_of(job), job.spec());
+        let allowed = tasks_within_limit(team, usage[job.team], spec, job.remaining_tasks());
+        let missing = missing_places(cluster, job, losing).min(f64::from(allowed + losing));
         if missing > 0.0 {
+            usage[job.team] = usage[job.team].plus(Usage::of_tasks(spec, missing.ceil() as u32));
             let shape = TaskShape::of_waiting_tasks(job, cluster, pools.zones());
             *places.entry(shape).or_default() += missing;
         }
--- a/crates/core/tests/scheduler/supply.rs
+++ b/crates/core/tests/scheduler/supply.rs
@@ -278,6 +278,25 @@
     scheduler.take_actions();
 }
 
+/// Guards against machines that are rented, and kept, for tasks that may not start because their team
+/// is at its limit.
+#[test]
+fn nothing_is_rented_for_tasks_beyond_a_teams_limit() {
+    let now = Instant::now();
+    let mut config = config();
+    config.teams[0].cpus_max = 6.0;
+    let mut scheduler = Scheduler::new(config, Term::new(1), 1);
+    scheduler.set_machine_types(mixed_machine_types());
+    send_heartbeats(&mut scheduler, &[spot_machine("host-1", "small", "z1")], 1, now);
+    claim_job(&mut scheduler, 1, 4, |_| {}, now);
+    assert_eq!(place_and_scale(&mut scheduler, now), []);
+    claim_job(&mut scheduler, 2, 40, |_| {}, now);
+    let requested = place_and_scale(&mut scheduler, now);
+    assert_eq!(requested, [("small".into(), "z1".into(), true, 1)], "for two tasks");
+    claim_job(&mut scheduler, 3, 1, |spec| spec.cpus = 8.0, now);
+    assert_eq!(place_and_scale(&mut scheduler, now), [], "the task exceeds what is left");
+}
+
 /// Guards against jobs that wait while a machine that gets one task at a time counts as room for all
 /// of them.
 #[test]
