Elections don't wait for a request of the lowest class

Cause: the loop that looks at the leader record also sent requests for a transfer of leadership, and waited for them without a limit, in the lowest class. While questions of users use up the request rate, that class gets no token, so a standby to which workers had turned took part in no election.

Transfer requests have a loop of their own, go in the class of claims and are given up after the 3 s for which the leader heeds them. So nothing stands between the end of a lease and the claim but requests of that class.

Test: a_successor_takes_over_from_a_stopped_leader_while_users_ask_much fails before (no successor after 13 s) and passes.

--- a/crates/corkfield/src/leadership/handover.rs
+++ b/crates/corkfield/src/leadership/handover.rs
@@ -91,9 +91,21 @@
     }
 }
 
+/// While this controller is a standby, requests a transfer of leadership whenever workers have sent
+/// their heartbeats to it although another controller leads; in an endless loop.
+pub(super) async fn request_transfers(context: &LeadershipContext) {
+    loop {
+        if !context.leadership.is_leading() {
+            request_transfer(context).await;
+        }
+        context.env.timers.wait_for_tick(LEADERSHIP_CHECK_INTERVAL).await;
+    }
+}
+
 /// Requests a transfer of leadership through the state service if workers have sent their
-/// heartbeats to this controller although another controller leads.
-pub(super) async fn request_transfer(context: &LeadershipContext) {
+/// heartbeats to this controller since the last request. Gives up once the request is too old for
+/// the leader to act on it.
+async fn request_transfer(context: &LeadershipContext) {
     let Some(request) = context.leadership.take_transfer_request() else { return };
     let leader_version = context
         .replica
@@ -106,6 +118,13 @@
     let transaction = Transaction::default()
         .when(LEADER_KEY, leader_version)
         .put(transfer_request_key(context.env.name.as_str()), store_value(&request));
-    let _ = context.env.state.commit(RequestClass::Housekeeping, &transaction).await;
+    // Workers may lose their leases if leadership does not move to a controller that they reach, so
+    // the request goes before those of users.
+    let commit = context.env.state.commit(RequestClass::Claim, &transaction);
+    match tokio::time::timeout(MAX_TRANSFER_REQUEST_AGE, commit).await {
+        Ok(Ok(_)) => tracing::debug!("transfer of leadership requested"),
+        Ok(Err(error)) => tracing::debug!(%error, "transfer of leadership not requested"),
+        Err(_) => tracing::debug!("transfer of leadership not requested in time"),
+    }
     tokio::time::sleep(TRANSFER_REQUEST_PAUSE).await;
 }
--- a/crates/corkfield/src/leadership/mod.rs
+++ b/crates/corkfield/src/leadership/mod.rs
@@ -41,7 +41,7 @@
 use active_leader::ActiveLeader;
 use corkfield_state::RateBudget;
 use election::WonElection;
-use handover::request_transfer;
+use handover::request_transfers;
 use state::{LeadershipEnd, LeadershipState};
 use std::rc::Rc;
 use std::time::Duration;
@@ -84,16 +84,22 @@
 
 /// Runs election and leadership in an endless loop: stays on standby until the leader record can be
 /// claimed, then leads.
+///
+/// Requests for a transfer of leadership are sent by a loop of their own: no wait for one may keep
+/// this controller from the election.
 pub async fn run(context: Rc<LeadershipContext>) {
-    enter_standby(&context);
+    tokio::join!(run_elections(&context), request_transfers(&context));
+}
+
+async fn run_elections(context: &Rc<LeadershipContext>) {
+    enter_standby(context);
     loop {
-        if let Some(won) = election::try_claim_leadership(&context).await {
-            lead(&context, won).await;
-            enter_standby(&context);
+        if let Some(won) = election::try_claim_leadership(context).await {
+            lead(context, won).await;
+            enter_standby(context);
         }
         let changed = context.replica.changed.notified();
         context.env.timers.wait_for_event(STANDBY_CHECK_INTERVAL, changed).await;
-        request_transfer(&context).await;
     }
 }
 
