Keep an idle machine while tasks that fit on it have no room

What callers saw, in a core test: the only machine with room is returned as idle while a job waits that has failed there, and the cloud refuses every request for another one. Other jobs then lack it too.

Cause: an idle machine was kept only for tasks for which nothing had been requested in the same round. A request that the cloud then refuses is no machine.

It is kept for all tasks that have no room and could run in its pool.

Test: an_idle_machine_is_kept_while_tasks_that_fit_on_it_have_no_room fails before and passes.

--- a/crates/core/src/scaling/mod.rs
+++ b/crates/core/src/scaling/mod.rs
@@ -133,7 +133,7 @@
         self.check_supply(cluster, &pools, &unserved, now);
         let expensive =
             if is_reconciled { scale_in::expensive_machines(cluster, &pools) } else { Vec::new() };
-        let idle_use = IdleUse { room, unserved: &unserved, headroom };
+        let idle_use = IdleUse { room, missing: &missing, headroom };
         let idle = scale_in::dispensable_idle_machines(cluster, &pools, idle_use, now);
         decisions.drain(cluster, expensive, DrainReason::Expensive);
         decisions.drain(cluster, idle, DrainReason::Idle);
--- a/crates/core/src/scaling/scale_in.rs
+++ b/crates/core/src/scaling/scale_in.rs
@@ -63,8 +63,8 @@
 pub(super) struct IdleUse<'a> {
     /// Room that is left once machines are chosen for all waiting tasks.
     pub(super) room: Room,
-    /// Tasks for which no machine has room and none was requested.
-    pub(super) unserved: &'a [ShapeDemand],
+    /// Tasks for which no machine has room.
+    pub(super) missing: &'a [ShapeDemand],
     /// Room to keep for future jobs.
     pub(super) headroom: Option<Headroom>,
 }
@@ -174,9 +174,9 @@
     /// machine may be drained.
     fn release(&mut self, idle: &IdleMachine<'_>) -> bool {
         let pool = idle.pool.index;
-        // While tasks wait that nothing else serves, a machine that gets few tasks is better than
-        // none.
-        if self.unserved.iter().any(|demand| demand.pools[pool]) {
+        // While such tasks wait, a machine that gets few tasks, or none of this job, is better than
+        // none: the cloud may refuse what was requested.
+        if self.missing.iter().any(|demand| demand.pools[pool]) {
             return false;
         }
         if idle.machine.is_slow() {
--- a/crates/core/tests/scheduler/supply.rs
+++ b/crates/core/tests/scheduler/supply.rs
@@ -13,12 +13,12 @@
 use std::time::{Duration, Instant};
 
 /// Returns the id of a job by its number.
-fn job_id(number: u32) -> JobId {
+pub(crate) fn job_id(number: u32) -> JobId {
     JobId::parse(&format!("j-{number:06}")).expect("a valid job id")
 }
 
 /// Claims a job of that many tasks, after `change` has changed its specification.
-fn claim_job(
+pub(crate) fn claim_job(
     scheduler: &mut Scheduler,
     number: u32,
     tasks: u32,
@@ -33,7 +33,7 @@
 }
 
 /// Returns the rentals that the scheduler requests.
-fn take_rentals(scheduler: &mut Scheduler) -> Vec<RentRequest> {
+pub(crate) fn take_rentals(scheduler: &mut Scheduler) -> Vec<RentRequest> {
     let rentals = scheduler.take_actions().into_iter().filter_map(|action| match action {
         Action::RentMachines(request) => Some(request),
         _ => None,
@@ -72,15 +72,19 @@
 
 /// A machine of the tests: name, type and zone.
 #[derive(Clone, Copy)]
-struct TestMachine {
-    name: &'static str,
-    machine_type: &'static str,
-    zone: &'static str,
-    spot: bool,
+pub(crate) struct TestMachine {
+    pub(crate) name: &'static str,
+    pub(crate) machine_type: &'static str,
+    pub(crate) zone: &'static str,
+    pub(crate) spot: bool,
 }
 
 /// Returns a spot machine.
-fn spot_machine(name: &'static str, machine_type: &'static str, zone: &'static str) -> TestMachine {
+pub(crate) fn spot_machine(
+    name: &'static str,
+    machine_type: &'static str,
+    zone: &'static str,
+) -> TestMachine {
     TestMachine { name, machine_type, zone, spot: true }
 }
 
@@ -114,7 +118,7 @@
 }
 
 /// Creates a scheduler with these machines, which are up and hold no task.
-fn scheduler_with(machines: &[TestMachine], now: Instant) -> Scheduler {
+pub(crate) fn scheduler_with(machines: &[TestMachine], now: Instant) -> Scheduler {
     let mut scheduler = scheduler_with_types();
     send_heartbeats(&mut scheduler, machines, 1, now);
     scheduler
@@ -431,3 +435,30 @@
     assert_eq!(state(medium.name), Some(MachineState::Up), "such a task fits on it");
     assert_eq!(state("host-1"), Some(MachineState::Draining));
 }
+
+/// Guards against returning a machine that is idle because the only waiting job has failed there,
+/// while the cloud has no other for it.
+#[test]
+fn an_idle_machine_is_kept_while_tasks_that_fit_on_it_have_no_room() {
+    let start = Instant::now();
+    let machine = spot_machine("host-1", "small", "z1");
+    let mut scheduler = scheduler_with(&[machine, spot_machine("host-2", "small", "z2")], start);
+    let fills_second_machine = |spec: &mut JobSpec| {
+        spec.zone = Some("z2".into());
+        spec.cpus = 4.0;
+    };
+    claim_job(&mut scheduler, 2, 1, fills_second_machine, start);
+    scheduler.run_placement_pass(start);
+    claim_job(&mut scheduler, 1, 1, |_| {}, start);
+    fail_task_on(&mut scheduler, 1, machine, start);
+    for second in 1..60 {
+        let now = start + Duration::from_secs(second);
+        send_heartbeats(&mut scheduler, &[machine], second + 3, now);
+        scheduler.scale(now);
+        for rental in take_rentals(&mut scheduler) {
+            scheduler.on_rental_answered(&rental, Err(RentalFailure::NoCapacity), now);
+        }
+    }
+    let state = scheduler.machine(machine.name).map(|machine| machine.state());
+    assert_eq!(state, Some(MachineState::Up));
+}
